worker: ask for the lease again until the worker's own expiry in a failure test

Cause: "loses the lease to another holder once" asked once for a second instance's lease, right after the first instance had lost it. The holder counts its lease from when the last renewal was sent and the worker from when it arrived, so that a worker may deny the lease for a little longer. That order is intended: a holder never believes in a lease that the worker has given to somebody else. Beside load the difference grows, and the only request was denied: LeaseDenied{Holder: "entry-1"} and no grant within 5 s.

Change: the test asks until it is granted, as the reducer does, and checks that every denial on the way names the earlier holder.

--- a/worker/failure_test.go
+++ b/worker/failure_test.go
@@ -90,7 +90,18 @@
 		h.client.Apply(event.FenceAttempt{Worker: "w1", Attempt: a})
 		h.standin.SetFaults(workerstandin.Faults{})
 
+		// The worker counts the lease from when the last renewal arrived and the
+		// holder from when it was sent, so the worker may still deny it for a while.
 		other := otherClient(h, "entry-2")
+		Eventually(func() int {
+			other.client.Apply(event.AcquireLease{Worker: h.standin.Info()})
+			return count[event.LeaseGranted](other)
+		}, 5*time.Second, 20*time.Millisecond).Should(Equal(1))
+		for _, e := range other.all() {
+			if denied, ok := e.(event.LeaseDenied); ok {
+				Expect(denied.Holder).To(Equal(model.InstanceID("entry-1")))
+			}
+		}
 		Expect(next[event.LeaseGranted](other, 1).Term).To(BeNumerically(">", granted.Term))
 		h.client.Apply(event.AcquireLease{Worker: h.standin.Info()})
 		denied := next[event.LeaseDenied](h, 1)
