--- a/cmd/standin/balancer.go
+++ b/cmd/standin/balancer.go
@@ -5,7 +5,7 @@
 	"net/http"
 	"net/netip"
 
-	"fuchsiacross/platformstandin"
+	"fuchsiacross/tableservicestandin"
 )
 
 // maxEntriesBytes bounds the list of entries in a control call.
@@ -30,7 +30,7 @@
 		}
 		entries = append(entries, entry)
 	}
-	b, err := platformstandin.NewBalancer(address, entries)
+	b, err := tableservicestandin.NewBalancer(address, entries)
 	if err != nil {
 		return err
 	}
--- a/cmd/standin/platform.go
+++ b/cmd/standin/platform.go
@@ -1,6 +1,6 @@
 package main
 
-import "fuchsiacross/platformstandin"
+import "fuchsiacross/tableservicestandin"
 
 type platformCommand struct {
 	common
@@ -12,7 +12,7 @@
 	if err != nil {
 		return err
 	}
-	p, err := platformstandin.New(platformstandin.Options{Address: address})
+	p, err := tableservicestandin.New(tableservicestandin.Options{Address: address})
 	if err != nil {
 		return err
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -21,9 +21,9 @@
 	"fuchsiacross/model"
 	"fuchsiacross/operator"
 	"fuchsiacross/peer"
-	"fuchsiacross/platform"
 	"fuchsiacross/scheduler"
 	"fuchsiacross/settings"
+	"fuchsiacross/tableservice"
 	"fuchsiacross/timeline"
 	"fuchsiacross/worker"
 )
@@ -59,7 +59,7 @@
 	operators *operator.Server
 	links     *peer.Links
 	workers   *worker.Client
-	platform  *platform.Client
+	platform  *tableservice.Client
 	servers   []*server
 
 	document    atomic.Pointer[document.Document]
@@ -177,7 +177,7 @@
 		Log:               d.log,
 		Metrics:           d.metrics,
 	})
-	d.platform = platform.New(platform.Options{
+	d.platform = tableservice.New(tableservice.Options{
 		Address:          s.PlatformAddress,
 		Self:             d.self.ID,
 		Life:             d.life,
--- a/daemon/edit.go
+++ b/daemon/edit.go
@@ -7,13 +7,13 @@
 
 	"fuchsiacross/event"
 	"fuchsiacross/operator"
-	"fuchsiacross/platform"
+	"fuchsiacross/tableservice"
 )
 
 // edit commits an edit and puts it in force here at once; heartbeats carry it
 // to the other instances.
 func (d *Daemon) edit(ctx context.Context, e operator.Edit) (operator.EditResult, error) {
-	r, err := d.platform.Edit(ctx, platform.Edit{
+	r, err := d.platform.Edit(ctx, tableservice.Edit{
 		Section:         e.Section,
 		Body:            e.Body,
 		SectionRevision: e.Revision,
@@ -21,9 +21,9 @@
 		Team:            e.Team,
 	})
 	switch {
-	case errors.Is(err, platform.ErrEditUnknown):
+	case errors.Is(err, tableservice.ErrEditUnknown):
 		return operator.EditResult{Status: operator.EditUnknown, Message: err.Error()}, nil
-	case errors.Is(err, platform.ErrEditReused):
+	case errors.Is(err, tableservice.ErrEditReused):
 		return operator.EditResult{Status: operator.EditRefused, Message: err.Error()}, nil
 	case err != nil:
 		return operator.EditResult{}, errors.Wrap(err, "commit edit")
--- a/event/effect.go
+++ b/event/effect.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"fuchsiacross/journal"
 	"fuchsiacross/model"
+	"fuchsiacross/requestjournal"
 )
 
 // Effect is one of the types of this package with an isEffect method.
@@ -110,8 +110,8 @@
 type CommitJournal struct {
 	Commit    CallID // repeated by CommitDone
 	Partition model.Partition
-	Version   journal.Version
-	Records   []journal.Record
+	Version   requestjournal.Version
+	Records   []requestjournal.Record
 }
 
 // CompactJournal replaces all batches of a partition up to the given version by
@@ -120,8 +120,8 @@
 type CompactJournal struct {
 	Commit    CallID // repeated by CommitDone
 	Partition model.Partition
-	Version   journal.Version
-	Records   []journal.Record
+	Version   requestjournal.Version
+	Records   []requestjournal.Record
 }
 
 // SendPeer sends a message to a peer. Delivery is not certain.
--- a/event/event.go
+++ b/event/event.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"fuchsiacross/document"
-	"fuchsiacross/journal"
 	"fuchsiacross/model"
+	"fuchsiacross/requestjournal"
 )
 
 // Event is one of the types of this package with an isEvent method.
@@ -145,8 +145,8 @@
 // JournalLoaded answers LoadJournal.
 type JournalLoaded struct {
 	Partition model.Partition
-	Version   journal.Version
-	Records   []journal.Record
+	Version   requestjournal.Version
+	Records   []requestjournal.Record
 }
 
 // JournalLoadFailed says that a journal could not be read; the reducer asks
@@ -175,7 +175,7 @@
 type CommitDone struct {
 	Commit    CallID // of the append that is answered
 	Partition model.Partition
-	Version   journal.Version // of the head when CommitApplied
+	Version   requestjournal.Version // of the head when CommitApplied
 	Result    CommitResult
 }
 
--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -8,9 +8,9 @@
 
 	"fuchsiacross/admission"
 	"fuchsiacross/event"
-	"fuchsiacross/journal"
 	"fuchsiacross/model"
 	"fuchsiacross/placement"
+	"fuchsiacross/requestjournal"
 )
 
 const (
@@ -254,8 +254,8 @@
 
 func (t *Table) appendIntent(now time.Time, r *request, x *task) {
 	t.traceTask(event.TraceIntent, r, x, "")
-	r.partition.journal.Append(now, journal.Record{
-		Kind:       journal.RecordIntent,
+	r.partition.journal.Append(now, requestjournal.Record{
+		Kind:       requestjournal.RecordIntent,
 		At:         now,
 		ID:         r.spec.ID,
 		Attempt:    x.attempt(r.spec.ID),
--- a/home/partition.go
+++ b/home/partition.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"fuchsiacross/event"
-	"fuchsiacross/journal"
 	"fuchsiacross/model"
+	"fuchsiacross/requestjournal"
 )
 
 type partitionState uint8
@@ -51,7 +51,7 @@
 	table       *Table
 	id          model.Partition
 	state       partitionState
-	journal     *journal.Partition
+	journal     *requestjournal.Partition
 	retryAt     time.Time // of the next load
 	parked      []parked
 	recovering  map[model.InstanceID]bool // peers that have not named their attempts
@@ -140,7 +140,7 @@
 }
 
 func (p *partition) appendClaim(now time.Time) {
-	p.journal.Append(now, journal.Record{Kind: journal.RecordClaim, At: now, Holder: p.table.o.Self, Life: p.table.o.Life})
+	p.journal.Append(now, requestjournal.Record{Kind: requestjournal.RecordClaim, At: now, Holder: p.table.o.Self, Life: p.table.o.Life})
 }
 
 // mayLeave reports whether the partition can be given up without losing a
@@ -181,8 +181,8 @@
 		return
 	}
 	var expired []*request
-	p.journal.Drop(func(rec journal.Record) bool {
-		if rec.Kind != journal.RecordAccepted || now.Before(rec.Request.Deadline) {
+	p.journal.Drop(func(rec requestjournal.Record) bool {
+		if rec.Kind != requestjournal.RecordAccepted || now.Before(rec.Request.Deadline) {
 			return false
 		}
 		r, ok := p.table.requests[rec.ID]
@@ -237,7 +237,7 @@
 	if p.state != partitionLoading {
 		return
 	}
-	p.journal = journal.Open(e.Partition, e.Version, e.Records)
+	p.journal = requestjournal.Open(e.Partition, e.Version, e.Records)
 	p.former, _ = p.journal.Holder()
 	p.state = partitionClaiming
 	p.appendClaim(now)
@@ -276,8 +276,8 @@
 }
 
 // apply carries out what a record allows once it is durable.
-func (t *Table) apply(now time.Time, p *partition, rec journal.Record) {
-	if rec.Kind == journal.RecordClaim {
+func (t *Table) apply(now time.Time, p *partition, rec requestjournal.Record) {
+	if rec.Kind == requestjournal.RecordClaim {
 		if p.state == partitionClaiming {
 			t.claimed(now, p)
 		}
@@ -288,11 +288,11 @@
 		return
 	}
 	switch rec.Kind {
-	case journal.RecordAccepted:
+	case requestjournal.RecordAccepted:
 		t.accept(now, r)
-	case journal.RecordIntent:
+	case requestjournal.RecordIntent:
 		t.intended(now, r, rec.Attempt)
-	case journal.RecordOutcome:
+	case requestjournal.RecordOutcome:
 		t.published(now, r)
 	}
 }
--- a/home/recover.go
+++ b/home/recover.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"fuchsiacross/event"
-	"fuchsiacross/journal"
 	"fuchsiacross/model"
+	"fuchsiacross/requestjournal"
 )
 
 // attemptsPerVersion spaces the attempt numbers of successive holders. A holder
@@ -46,7 +46,7 @@
 
 func (p *partition) has(id model.RequestID) bool { return p.table.partitionOf(id) == p }
 
-func (t *Table) restoreEntry(now time.Time, p *partition, e *journal.Entry) {
+func (t *Table) restoreEntry(now time.Time, p *partition, e *requestjournal.Entry) {
 	r := restore(p, e)
 	t.requests[e.Request.ID] = r
 	// The journal has no intents of a request that may run more than once, so
--- a/home/request.go
+++ b/home/request.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"fuchsiacross/event"
-	"fuchsiacross/journal"
 	"fuchsiacross/model"
+	"fuchsiacross/requestjournal"
 )
 
 type taskState uint8
@@ -172,7 +172,7 @@
 }
 
 // restore rebuilds an unsettled request from its journal entry.
-func restore(p *partition, e *journal.Entry) *request {
+func restore(p *partition, e *requestjournal.Entry) *request {
 	r := newRequest(e.Request, p)
 	r.accepted = true
 	for _, a := range e.Attempts {
--- a/home/settle.go
+++ b/home/settle.go
@@ -5,8 +5,8 @@
 
 	"fuchsiacross/admission"
 	"fuchsiacross/event"
-	"fuchsiacross/journal"
 	"fuchsiacross/model"
+	"fuchsiacross/requestjournal"
 )
 
 // outcomeOf returns the outcome that one task's result amounts to.
@@ -61,7 +61,7 @@
 		return
 	}
 	r.settling = true
-	r.partition.journal.Append(now, journal.Record{Kind: journal.RecordOutcome, At: now, ID: r.spec.ID, Outcome: r.outcome})
+	r.partition.journal.Append(now, requestjournal.Record{Kind: requestjournal.RecordOutcome, At: now, ID: r.spec.ID, Outcome: r.outcome})
 }
 
 // published tells everybody who waits about an outcome that stands.
--- a/home/table.go
+++ b/home/table.go
@@ -9,11 +9,11 @@
 
 	"fuchsiacross/admission"
 	"fuchsiacross/event"
-	"fuchsiacross/journal"
 	"fuchsiacross/lease"
 	"fuchsiacross/membership"
 	"fuchsiacross/model"
 	"fuchsiacross/placement"
+	"fuchsiacross/requestjournal"
 )
 
 // Options configure a Table.
@@ -27,7 +27,7 @@
 	Queue      *admission.Queue
 	Quota      *admission.Quota
 	Retries    *admission.RetryBudget
-	Writes     *journal.Budget
+	Writes     *requestjournal.Budget
 	NextCall   func() event.CallID
 	Random     func() uint64
 	Emit       func(event.Effect)
@@ -127,7 +127,7 @@
 }
 
 func (t *Table) partitionOf(id model.RequestID) *partition {
-	return &t.partitions[journal.PartitionOf(id, t.o.Partitions)]
+	return &t.partitions[requestjournal.PartitionOf(id, t.o.Partitions)]
 }
 
 // Submit takes a request whose home is this instance. The waiter hears of its
@@ -161,7 +161,7 @@
 	r := t.add(spec, p)
 	r.addWaiter(w)
 	t.trace(event.TraceSubmitted, r, spec.Durability().String())
-	p.journal.Append(now, journal.Record{Kind: journal.RecordAccepted, At: now, ID: spec.ID, Request: spec})
+	p.journal.Append(now, requestjournal.Record{Kind: requestjournal.RecordAccepted, At: now, ID: spec.ID, Request: spec})
 }
 
 // The numbers of an ephemeral request's attempts begin at one of 16,384 random
@@ -234,7 +234,7 @@
 }
 
 // answerSettled answers for a request that only the journal knows.
-func (t *Table) answerSettled(w Waiter, spec *model.Request, e *journal.Entry) {
+func (t *Table) answerSettled(w Waiter, spec *model.Request, e *requestjournal.Entry) {
 	switch {
 	case e.Forgotten:
 		w.Outcome(t.o.Emit, model.Outcome{Status: model.StatusExpired, Reason: "the record was dropped after the retention time"})
--- a/home/update.go
+++ b/home/update.go
@@ -5,8 +5,8 @@
 
 	"fuchsiacross/admission"
 	"fuchsiacross/event"
-	"fuchsiacross/journal"
 	"fuchsiacross/model"
+	"fuchsiacross/requestjournal"
 )
 
 // Update takes an owner's news of an attempt. Final news are acknowledged once
@@ -107,13 +107,13 @@
 // returned, and reports whether it does. The result is then acknowledged when it
 // is announced again. One of several tasks, or a task that was stopped, settles
 // nothing.
-func (t *Table) settleLate(now time.Time, p *partition, e *journal.Entry, u event.AttemptUpdate) bool {
+func (t *Table) settleLate(now time.Time, p *partition, e *requestjournal.Entry, u event.AttemptUpdate) bool {
 	if e.Request == nil || e.Request.Tasks != 1 || u.Report.State == model.TaskStopped {
 		return false
 	}
 	o := outcomeOf(u.Report.Attempt, u.Worker, &u.Report.Result)
 	t.o.Emit(event.Trace{Kind: event.TraceSettled, Request: e.Request.ID, Detail: "the worker returned: " + o.Status.String()})
-	p.journal.Append(now, journal.Record{Kind: journal.RecordOutcome, At: now, ID: e.Request.ID, Outcome: &o})
+	p.journal.Append(now, requestjournal.Record{Kind: requestjournal.RecordOutcome, At: now, ID: e.Request.ID, Outcome: &o})
 	return true
 }
 
@@ -263,8 +263,8 @@
 	if !r.atMostOnce() {
 		return
 	}
-	r.partition.journal.Append(now, journal.Record{
-		Kind:    journal.RecordTaskResult,
+	r.partition.journal.Append(now, requestjournal.Record{
+		Kind:    requestjournal.RecordTaskResult,
 		At:      now,
 		ID:      r.spec.ID,
 		Attempt: x.attempt(r.spec.ID),
@@ -298,8 +298,8 @@
 	r.proof = proof
 	x.askAt, x.giveUpAt = time.Time{}, time.Time{}
 	if r.atMostOnce() && proof != model.ProofNone {
-		r.partition.journal.Append(now, journal.Record{
-			Kind:    journal.RecordTaskResult,
+		r.partition.journal.Append(now, requestjournal.Record{
+			Kind:    requestjournal.RecordTaskResult,
 			At:      now,
 			ID:      r.spec.ID,
 			Attempt: x.attempt(r.spec.ID),
--- a/linkstandin/link.go
+++ b/linkstandin/link.go
@@ -67,6 +67,18 @@
 	l.change = make(chan struct{})
 }
 
+// Reset resets all open connections; new ones work.
+func (l *Link) Reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for conn := range l.conns {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = conn.Close()
+	}
+}
+
 // Close stops the relay and its connections.
 func (l *Link) Close() error {
 	l.mu.Lock()
--- a/localcell/cell.go
+++ b/localcell/cell.go
@@ -18,9 +18,9 @@
 	"fuchsiacross/model"
 	"fuchsiacross/operatorv1"
 	"fuchsiacross/operatorv1/operatorv1connect"
-	"fuchsiacross/platform"
-	"fuchsiacross/platformstandin"
 	"fuchsiacross/settings"
+	"fuchsiacross/tableservice"
+	"fuchsiacross/tableservicestandin"
 	"fuchsiacross/workerstandin"
 )
 
@@ -34,7 +34,7 @@
 // Cell is a running cell.
 type Cell struct {
 	o        Options
-	platform *platformstandin.Platform
+	platform *tableservicestandin.Platform
 	recorder *workerstandin.Recorder
 	workers  []*workerstandin.Worker
 	entries  []*Entry
@@ -73,7 +73,7 @@
 	if c.operator, err = newCredential(); err != nil {
 		return err
 	}
-	if c.platform, err = platformstandin.New(platformstandin.Options{Address: loopback()}); err != nil {
+	if c.platform, err = tableservicestandin.New(tableservicestandin.Options{Address: loopback()}); err != nil {
 		return errors.Wrap(err, "platform")
 	}
 	c.network.place(c.platform.Address(), c.o.Deployment.DataCentres[0])
@@ -115,7 +115,7 @@
 			Recorder:   c.recorder,
 			Trusting:   true,
 			FetchBody: func(_ context.Context, digest model.Digest) ([]byte, error) {
-				return c.platform.Object(platform.ObjectName(digest))
+				return c.platform.Object(tableservice.ObjectName(digest))
 			},
 		})
 		if err != nil {
@@ -257,7 +257,7 @@
 func (c *Cell) Workers() []*workerstandin.Worker { return c.workers }
 
 // Platform returns the platform's stand-in.
-func (c *Cell) Platform() *platformstandin.Platform { return c.platform }
+func (c *Cell) Platform() *tableservicestandin.Platform { return c.platform }
 
 // Recorder returns what the workers have recorded.
 func (c *Cell) Recorder() *workerstandin.Recorder { return c.recorder }
--- a/localcell/cell_test.go
+++ b/localcell/cell_test.go
@@ -11,7 +11,7 @@
 
 	"fuchsiacross/localcell"
 	"fuchsiacross/operatorv1"
-	"fuchsiacross/platformstandin"
+	"fuchsiacross/tableservicestandin"
 )
 
 // startLimit is generous, since the machine may be busy.
@@ -52,9 +52,9 @@
 			time.Sleep(time.Second)
 			cell.Kill(entries[1])
 			time.Sleep(time.Second)
-			cell.Platform().SetFaults(platformstandin.Faults{Down: true})
+			cell.Platform().SetFaults(tableservicestandin.Faults{Down: true})
 			time.Sleep(time.Second)
-			cell.Platform().SetFaults(platformstandin.Faults{LoseShare: 0.2})
+			cell.Platform().SetFaults(tableservicestandin.Faults{LoseShare: 0.2})
 			Expect(cell.StartEntry(entries[1])).To(Succeed())
 			time.Sleep(time.Second)
 			ctx, cancel := context.WithTimeout(context.Background(), startLimit)
--- a/localcell/console.go
+++ b/localcell/console.go
@@ -10,7 +10,7 @@
 
 	"github.com/go-faster/errors"
 
-	"fuchsiacross/platformstandin"
+	"fuchsiacross/tableservicestandin"
 	"fuchsiacross/workerstandin"
 )
 
@@ -66,7 +66,7 @@
 		}
 		return nil
 	case len(words) == 2 && words[0] == "store":
-		c.platform.SetFaults(platformstandin.Faults{Down: words[1] == "down"})
+		c.platform.SetFaults(tableservicestandin.Faults{Down: words[1] == "down"})
 		return nil
 	case len(words) == 2:
 		return c.entryCommand(ctx, words[0], words[1])
--- a/measure/capacity.go
+++ b/measure/capacity.go
@@ -62,9 +62,19 @@
 	daemonTable(&b)
 	roleTable(&b)
 	b.WriteString(pageLimits)
+	b.WriteString(pagePlatform)
 	return b.String()
 }
 
+// pagePlatform tells where the other program's figures are.
+const pagePlatform = `
+## On the users' platform
+
+The figures above are those of the project's own cell. The program for the users'
+platform has one leader for all workers; docs/platform.md, section "Scale", has
+its measured load at 48 and 350 workers and says where it breaks first.
+`
+
 func number(v float64) string {
 	if v == math.Trunc(v) {
 		return fmt.Sprintf("%.0f", v)
--- a/measure/cell.go
+++ b/measure/cell.go
@@ -8,8 +8,8 @@
 
 	"fuchsiacross/document"
 	"fuchsiacross/event"
-	"fuchsiacross/journal"
 	"fuchsiacross/model"
+	"fuchsiacross/requestjournal"
 	"fuchsiacross/scheduler"
 )
 
@@ -102,8 +102,8 @@
 }
 
 type stored struct {
-	version journal.Version
-	records []journal.Record
+	version requestjournal.Version
+	records []requestjournal.Record
 }
 
 type task struct {
--- a/peer/links_test.go
+++ b/peer/links_test.go
@@ -235,11 +235,30 @@
 		connect(a, b)
 		a.cut.Store(true)
 		Eventually(b.linked, "4s", "10ms").Should(BeZero())
+		Eventually(posted[event.PeerDown](b), "4s").ShouldNot(BeEmpty())
 		Expect(posted[event.PeerDown](b)()[0].Reason).To(Equal("nothing received in time"))
 		a.cut.Store(false)
 		Eventually(b.linked, "5s", "10ms").Should(Equal(int64(1)))
 	})
 
+	// The library closes a silent connection under the writer; operators were told
+	// of a failed write instead of the silence that caused it.
+	It("names silence as the reason also while it sends", func() {
+		a, b := listen("a", 1, nil), listen("b", 1, nil)
+		connect(a, b)
+		a.cut.Store(true)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			for b.linked() == 1 {
+				b.send(a, event.ReleaseReservation{Call: 1})
+			}
+		}()
+		Eventually(posted[event.PeerDown](b), "20s", "10ms").ShouldNot(BeEmpty())
+		<-done
+		Expect(posted[event.PeerDown](b)()[0].Reason).To(Equal("nothing received in time"))
+	})
+
 	// An instance with another key could send commands in the name of a peer.
 	It("opens no link between different keys", func() {
 		tests := []struct {
--- a/peer/session.go
+++ b/peer/session.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
@@ -29,8 +30,9 @@
 	stop context.CancelFunc
 	done chan struct{} // closed when PeerDown has been posted
 
-	mu     sync.Mutex
-	reason string
+	mu       sync.Mutex
+	reason   string
+	silentAt atomic.Pointer[time.Time] // when the connection counts as silent; nil before the first reading
 }
 
 // fail records the first reason for which the session ends, and ends it.
@@ -125,7 +127,9 @@
 
 // receive returns the messages of the next frame.
 func (s *session) receive(ctx context.Context, frames *decoder) ([]event.Message, error) {
-	ctx, cancel := context.WithTimeout(ctx, idleFactor*milliseconds(s.remote.idleMilliseconds))
+	deadline := time.Now().Add(idleFactor * milliseconds(s.remote.idleMilliseconds))
+	s.silentAt.Store(&deadline)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	kind, data, err := s.conn.Read(ctx)
 	switch {
@@ -160,11 +164,23 @@
 	case ctx.Err() != nil:
 		return "closed by this instance"
 	case errors.Is(err, context.DeadlineExceeded):
-		return "nothing received in time"
+		return reasonSilent
 	}
 	return err.Error()
 }
 
+const reasonSilent = "nothing received in time"
+
+// reasonOfWrite is the reason of a failed write. When nothing was received in
+// time, the library closes the connection under the writer, who may notice
+// before the reader does.
+func (s *session) reasonOfWrite(err error) string {
+	if deadline := s.silentAt.Load(); deadline != nil && !time.Now().Before(*deadline) {
+		return reasonSilent
+	}
+	return "write: " + err.Error()
+}
+
 // write sends what waits, and an empty frame when nothing was sent in the
 // promised time.
 func (s *session) write(ctx context.Context) {
@@ -182,7 +198,7 @@
 		}
 		sent, err := s.flush(ctx, frames, keepalive)
 		if err != nil {
-			s.fail("write: " + err.Error())
+			s.fail(s.reasonOfWrite(err))
 			return
 		}
 		if sent {
--- a/journal/benchmark_test.go
+++ b/requestjournal/benchmark_test.go
@@ -1,23 +1,23 @@
-package journal_test
+package requestjournal_test
 
 import (
 	"fmt"
 	"testing"
 	"time"
 
-	"fuchsiacross/journal"
 	"fuchsiacross/model"
+	"fuchsiacross/requestjournal"
 )
 
 // settled returns the records of a number of settled requests.
-func settled(requests int) []journal.Record {
-	var records []journal.Record
+func settled(requests int) []requestjournal.Record {
+	var records []requestjournal.Record
 	for i := range requests {
 		id := model.RequestID(fmt.Sprintf("r-%d", i))
 		records = append(records,
-			journal.Record{Kind: journal.RecordAccepted, At: start, ID: id, Request: &model.Request{ID: id}},
-			journal.Record{Kind: journal.RecordIntent, At: start, ID: id, Attempt: model.Attempt{Request: id, Number: 1}, Worker: "w"},
-			journal.Record{Kind: journal.RecordOutcome, At: start, ID: id, Outcome: &model.Outcome{Status: model.StatusDone}})
+			requestjournal.Record{Kind: requestjournal.RecordAccepted, At: start, ID: id, Request: &model.Request{ID: id}},
+			requestjournal.Record{Kind: requestjournal.RecordIntent, At: start, ID: id, Attempt: model.Attempt{Request: id, Number: 1}, Worker: "w"},
+			requestjournal.Record{Kind: requestjournal.RecordOutcome, At: start, ID: id, Outcome: &model.Outcome{Status: model.StatusDone}})
 	}
 	return records
 }
@@ -27,23 +27,23 @@
 func BenchmarkOpen(b *testing.B) {
 	records := settled(100_000)
 	for b.Loop() {
-		journal.Open(1, 1, records)
+		requestjournal.Open(1, 1, records)
 	}
 }
 
 // BenchmarkCompaction copies the state of 100,000 requests, which the control
 // goroutine waits for.
 func BenchmarkCompaction(b *testing.B) {
-	p := journal.Open(1, 1, settled(100_000))
+	p := requestjournal.Open(1, 1, settled(100_000))
 	for b.Loop() {
-		journal.Compacted(p)
+		requestjournal.Compacted(p)
 	}
 }
 
 // BenchmarkCommit appends, commits and replays batches of 66 records.
 func BenchmarkCommit(b *testing.B) {
-	p := journal.Open(1, 0, nil)
-	budget := journal.NewBudget(start, 1000)
+	p := requestjournal.Open(1, 0, nil)
+	budget := requestjournal.NewBudget(start, 1000)
 	records := settled(22)
 	now := start
 	for b.Loop() {
--- a/journal/doc.go
+++ b/requestjournal/doc.go
@@ -1,4 +1,4 @@
-// Package journal holds the journal of requests that must not be lost or must
+// Package requestjournal holds the journal of requests that must not be lost or must
 // run at most once.
 //
 // A journal is divided into partitions by hash of the request identifier. Each
@@ -16,9 +16,9 @@
 //
 // # Usage
 //
-//	p := journal.Open(loaded.Partition, loaded.Version, loaded.Records)
-//	budget := journal.NewBudget(now, share)
-//	p.Append(now, journal.Record{Kind: journal.RecordClaim, At: now, Holder: self, Life: life})
+//	p := requestjournal.Open(loaded.Partition, loaded.Version, loaded.Records)
+//	budget := requestjournal.NewBudget(now, share)
+//	p.Append(now, requestjournal.Record{Kind: requestjournal.RecordClaim, At: now, Holder: self, Life: life})
 //	if batch, ok := p.Next(now, budget); ok {
 //		commit(batch)
 //	} else if at, ok := p.NextAt(now, budget); ok {
@@ -34,4 +34,4 @@
 //	case event.CommitFailed:
 //		p.Failed()
 //	}
-package journal
+package requestjournal
--- a/journal/entry.go
+++ b/requestjournal/entry.go
@@ -1,4 +1,4 @@
-package journal
+package requestjournal
 
 import (
 	"time"
--- a/journal/export_test.go
+++ b/requestjournal/export_test.go
@@ -1,4 +1,4 @@
-package journal
+package requestjournal
 
 // SetPace replaces the pace of a budget, so that a test can compare policies.
 func (b *Budget) SetPace(pace func(recordRate, share float64) float64) { b.pace = pace }
--- a/journal/load_test.go
+++ b/requestjournal/load_test.go
@@ -1,4 +1,4 @@
-package journal_test
+package requestjournal_test
 
 import (
 	"container/heap"
@@ -10,8 +10,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"fuchsiacross/journal"
 	"fuchsiacross/model"
+	"fuchsiacross/requestjournal"
 )
 
 // The simulated cell: seven instances share eight partitions and 200 writes/s
@@ -43,8 +43,8 @@
 	now        time.Time
 	steps      steps
 	random     *rand.Rand
-	budgets    []*journal.Budget
-	partitions []*journal.Partition
+	budgets    []*requestjournal.Budget
+	partitions []*requestjournal.Partition
 	armed      []bool // a partition waits for its budget's next token
 	joined     bool   // the intent is appended together with the acceptance
 	down       func(time.Time) bool
@@ -65,10 +65,10 @@
 		armed:     make([]bool, simPartitions),
 	}
 	for range simInstances {
-		s.budgets = append(s.budgets, journal.NewBudget(start, simShare))
+		s.budgets = append(s.budgets, requestjournal.NewBudget(start, simShare))
 	}
 	for p := range simPartitions {
-		s.partitions = append(s.partitions, journal.Open(model.Partition(p), 0, nil))
+		s.partitions = append(s.partitions, requestjournal.Open(model.Partition(p), 0, nil))
 	}
 	return s
 }
@@ -83,10 +83,10 @@
 		id := model.RequestID(fmt.Sprintf("r-%d", s.requests))
 		s.requests++
 		s.arrived[id] = s.now
-		p := int(journal.PartitionOf(id, simPartitions))
-		s.partitions[p].Append(s.now, journal.Record{Kind: journal.RecordAccepted, At: s.now, ID: id})
+		p := int(requestjournal.PartitionOf(id, simPartitions))
+		s.partitions[p].Append(s.now, requestjournal.Record{Kind: requestjournal.RecordAccepted, At: s.now, ID: id})
 		if s.joined {
-			s.partitions[p].Append(s.now, journal.Record{Kind: journal.RecordIntent, At: s.now, ID: id})
+			s.partitions[p].Append(s.now, requestjournal.Record{Kind: requestjournal.RecordIntent, At: s.now, ID: id})
 		}
 		s.next(p)
 		if d := time.Duration(s.random.ExpFloat64() / perSecond * 1e9); s.now.Add(d).Before(end) {
@@ -133,23 +133,23 @@
 }
 
 // committed does what the holder does after a record is durable.
-func (s *sim) committed(p int, r journal.Record) {
+func (s *sim) committed(p int, r requestjournal.Record) {
 	since := s.now.Sub(s.arrived[r.ID])
 	switch r.Kind {
-	case journal.RecordAccepted:
+	case requestjournal.RecordAccepted:
 		s.accepted = append(s.accepted, since)
 		if !s.joined {
-			s.partitions[p].Append(s.now, journal.Record{Kind: journal.RecordIntent, At: s.now, ID: r.ID})
+			s.partitions[p].Append(s.now, requestjournal.Record{Kind: requestjournal.RecordIntent, At: s.now, ID: r.ID})
 		}
-	case journal.RecordIntent:
+	case requestjournal.RecordIntent:
 		s.begun = append(s.begun, since)
 		s.after(time.Duration(s.random.ExpFloat64()*float64(simRun)), func() {
 			o := &model.Outcome{Status: model.StatusDone}
 			s.arrived[r.ID] = s.arrived[r.ID].Add(s.now.Sub(s.arrived[r.ID]) - since) // without the run time
-			s.partitions[p].Append(s.now, journal.Record{Kind: journal.RecordOutcome, At: s.now, ID: r.ID, Outcome: o})
+			s.partitions[p].Append(s.now, requestjournal.Record{Kind: requestjournal.RecordOutcome, At: s.now, ID: r.ID, Outcome: o})
 			s.next(p)
 		})
-	case journal.RecordOutcome:
+	case requestjournal.RecordOutcome:
 		s.settle = append(s.settle, since)
 	}
 }
--- a/journal/partition_test.go
+++ b/requestjournal/partition_test.go
@@ -1,4 +1,4 @@
-package journal_test
+package requestjournal_test
 
 import (
 	"fmt"
@@ -9,15 +9,15 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
-	"fuchsiacross/journal"
 	"fuchsiacross/model"
+	"fuchsiacross/requestjournal"
 )
 
 const retentionSeconds = 60
 
 // entries returns the durable entries by value.
-func entries(p *journal.Partition) map[model.RequestID]journal.Entry {
-	m := make(map[model.RequestID]journal.Entry)
+func entries(p *requestjournal.Partition) map[model.RequestID]requestjournal.Entry {
+	m := make(map[model.RequestID]requestjournal.Entry)
 	for id, e := range p.Entries() {
 		m[id] = *e
 	}
@@ -25,21 +25,21 @@
 }
 
 // draw returns a random record of one of a few requests.
-func draw(t *rapid.T, now time.Time) journal.Record {
+func draw(t *rapid.T, now time.Time) requestjournal.Record {
 	id := model.RequestID(fmt.Sprintf("r-%d", rapid.IntRange(0, 5).Draw(t, "id")))
 	attempt := model.Attempt{Request: id, Number: uint32(rapid.IntRange(1, 3).Draw(t, "number"))}
-	r := journal.Record{At: now, ID: id}
-	r.Kind = journal.RecordKind(rapid.IntRange(1, 5).Draw(t, "kind"))
+	r := requestjournal.Record{At: now, ID: id}
+	r.Kind = requestjournal.RecordKind(rapid.IntRange(1, 5).Draw(t, "kind"))
 	switch r.Kind {
-	case journal.RecordClaim:
+	case requestjournal.RecordClaim:
 		r.ID, r.Holder, r.Life = "", "entry-1", model.Incarnation(rapid.IntRange(1, 3).Draw(t, "life"))
-	case journal.RecordAccepted:
+	case requestjournal.RecordAccepted:
 		r.Request = &model.Request{ID: id, Body: []byte("body"), Deadline: now}
-	case journal.RecordIntent:
+	case requestjournal.RecordIntent:
 		r.Attempt, r.Worker = attempt, "w-1"
-	case journal.RecordTaskResult:
+	case requestjournal.RecordTaskResult:
 		r.Attempt, r.Result = attempt, &model.TaskResult{Succeeded: true, Answer: []byte("answer")}
-	case journal.RecordOutcome:
+	case requestjournal.RecordOutcome:
 		status := rapid.SampledFrom([]model.Status{model.StatusDone, model.StatusUnknown}).Draw(t, "status")
 		r.Outcome = &model.Outcome{Status: status, Attempt: attempt}
 	}
@@ -47,8 +47,8 @@
 }
 
 // commit commits everything that is buffered.
-func commit(p *journal.Partition, now time.Time) {
-	budget := journal.NewBudget(now, 1000)
+func commit(p *requestjournal.Partition, now time.Time) {
+	budget := requestjournal.NewBudget(now, 1000)
 	for {
 		b, ok := p.Next(now, budget)
 		if !ok {
@@ -64,9 +64,9 @@
 	It("equals the replay of its journal", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			now := start
-			budget := journal.NewBudget(now, 1000)
-			p := journal.Open(3, 0, nil)
-			var log, pending []journal.Record // durable; appended and not durable
+			budget := requestjournal.NewBudget(now, 1000)
+			p := requestjournal.Open(3, 0, nil)
+			var log, pending []requestjournal.Record // durable; appended and not durable
 			for range rapid.IntRange(1, 80).Draw(t, "steps") {
 				now = now.Add(time.Duration(rapid.IntRange(0, 20_000).Draw(t, "ms")) * time.Millisecond)
 				switch rapid.IntRange(0, 5).Draw(t, "step") {
@@ -90,15 +90,15 @@
 					}
 				case 4:
 					for _, id := range p.Expire(now, retentionSeconds) {
-						pending = append(pending, journal.Record{Kind: journal.RecordForget, At: now, ID: id})
+						pending = append(pending, requestjournal.Record{Kind: requestjournal.RecordForget, At: now, ID: id})
 					}
 				case 5:
-					log = journal.Compacted(p)
+					log = requestjournal.Compacted(p)
 				}
 				for _, id := range p.Expire(now, retentionSeconds) {
-					pending = append(pending, journal.Record{Kind: journal.RecordForget, At: now, ID: id})
+					pending = append(pending, requestjournal.Record{Kind: requestjournal.RecordForget, At: now, ID: id})
 				}
-				replay := journal.Open(3, p.Version(), log)
+				replay := requestjournal.Open(3, p.Version(), log)
 				replay.Expire(now, retentionSeconds)
 				if a, b := fmt.Sprintf("%+v", entries(p)), fmt.Sprintf("%+v", entries(replay)); len(a) != len(b) ||
 					!maps.EqualFunc(entries(p), entries(replay), same) {
@@ -114,10 +114,10 @@
 	// An entry that is forgotten too early would let a duplicate run again; one
 	// that is never forgotten would grow the journal without bound.
 	It("forgets settled requests in two steps", func() {
-		p := journal.Open(1, 0, nil)
+		p := requestjournal.Open(1, 0, nil)
 		p.Append(start,
-			journal.Record{Kind: journal.RecordAccepted, At: start, ID: "r", Request: &model.Request{ID: "r"}},
-			journal.Record{Kind: journal.RecordOutcome, At: start, ID: "r", Outcome: &model.Outcome{Status: model.StatusDone}})
+			requestjournal.Record{Kind: requestjournal.RecordAccepted, At: start, ID: "r", Request: &model.Request{ID: "r"}},
+			requestjournal.Record{Kind: requestjournal.RecordOutcome, At: start, ID: "r", Outcome: &model.Outcome{Status: model.StatusDone}})
 		commit(p, start)
 		Expect(p.Expire(start.Add(59*time.Second), retentionSeconds)).To(BeEmpty())
 		forgotten := start.Add(60 * time.Second)
@@ -136,13 +136,13 @@
 
 	// Without compaction a takeover would read every record ever written.
 	It("compacts a journal of forgotten requests", func() {
-		p := journal.Open(1, 0, nil)
+		p := requestjournal.Open(1, 0, nil)
 		now := start
 		for i := range 2000 {
 			id := model.RequestID(fmt.Sprintf("r-%d", i))
 			p.Append(now,
-				journal.Record{Kind: journal.RecordAccepted, At: now, ID: id, Request: &model.Request{ID: id}},
-				journal.Record{Kind: journal.RecordOutcome, At: now, ID: id, Outcome: &model.Outcome{Status: model.StatusDone}})
+				requestjournal.Record{Kind: requestjournal.RecordAccepted, At: now, ID: id, Request: &model.Request{ID: id}},
+				requestjournal.Record{Kind: requestjournal.RecordOutcome, At: now, ID: id, Outcome: &model.Outcome{Status: model.StatusDone}})
 		}
 		commit(p, now)
 		_, ok := p.Compaction()
@@ -150,14 +150,14 @@
 		for range 4 {
 			now = now.Add(2 * retentionSeconds * time.Second)
 			p.Expire(now, retentionSeconds)
-			p.Append(now, journal.Record{Kind: journal.RecordClaim, Holder: "entry-1", Life: 1})
+			p.Append(now, requestjournal.Record{Kind: requestjournal.RecordClaim, Holder: "entry-1", Life: 1})
 			commit(p, now)
 		}
 		records, ok := p.Compaction()
 		Expect(ok).To(BeTrue())
-		Expect(records).To(Equal([]journal.Record{{Kind: journal.RecordClaim, Holder: "entry-1", Life: 1}}))
-		p.Append(now, journal.Record{Kind: journal.RecordClaim, Holder: "entry-1", Life: 2})
-		_, ok = p.Next(now, journal.NewBudget(now, 1000))
+		Expect(records).To(Equal([]requestjournal.Record{{Kind: requestjournal.RecordClaim, Holder: "entry-1", Life: 1}}))
+		p.Append(now, requestjournal.Record{Kind: requestjournal.RecordClaim, Holder: "entry-1", Life: 2})
+		_, ok = p.Next(now, requestjournal.NewBudget(now, 1000))
 		Expect(ok).To(BeFalse(), "a compaction is outstanding")
 		Expect(p.Committed(p.Version() + 1)).To(BeEmpty())
 		_, ok = p.Compaction()
@@ -167,27 +167,27 @@
 	// A request that was given up before its acceptance was sent must not be
 	// accepted later; one whose acceptance is outstanding may be.
 	It("drops only records that are not outstanding", func() {
-		p := journal.Open(1, 0, nil)
-		accepted := func(id model.RequestID) journal.Record {
-			return journal.Record{Kind: journal.RecordAccepted, ID: id, Request: &model.Request{ID: id}}
+		p := requestjournal.Open(1, 0, nil)
+		accepted := func(id model.RequestID) requestjournal.Record {
+			return requestjournal.Record{Kind: requestjournal.RecordAccepted, ID: id, Request: &model.Request{ID: id}}
 		}
 		p.Append(start, accepted("sent"))
-		_, ok := p.Next(start, journal.NewBudget(start, 1000))
+		_, ok := p.Next(start, requestjournal.NewBudget(start, 1000))
 		Expect(ok).To(BeTrue())
 		p.Append(start, accepted("waiting"))
-		p.Drop(func(journal.Record) bool { return true })
-		Expect(p.Conflict()).To(Equal([]journal.Record{accepted("sent")}))
+		p.Drop(func(requestjournal.Record) bool { return true })
+		Expect(p.Conflict()).To(Equal([]requestjournal.Record{accepted("sent")}))
 		p.Append(start, accepted("late"))
-		_, ok = p.Next(start, journal.NewBudget(start, 1000))
+		_, ok = p.Next(start, requestjournal.NewBudget(start, 1000))
 		Expect(ok).To(BeFalse(), "a closed partition sends nothing")
 	})
 
 	// A holder that asks again at once after a failure would spin, or would press
 	// on a store that is down.
 	It("waits after a failure", func() {
-		p := journal.Open(1, 0, nil)
-		budget := journal.NewBudget(start, 1000)
-		p.Append(start, journal.Record{Kind: journal.RecordIntent, ID: "r"})
+		p := requestjournal.Open(1, 0, nil)
+		budget := requestjournal.NewBudget(start, 1000)
+		p.Append(start, requestjournal.Record{Kind: requestjournal.RecordIntent, ID: "r"})
 		_, ok := p.Next(start, budget)
 		Expect(ok).To(BeTrue())
 		_, ok = p.NextAt(start, budget)
@@ -204,21 +204,21 @@
 
 	// A partition that never gets a token would hold its requests for ever.
 	It("shares the tokens in the order of waiting", func() {
-		budget := journal.NewBudget(start, 1)
+		budget := requestjournal.NewBudget(start, 1)
 		for budget.Take(start) {
 			continue
 		}
-		var parts []*journal.Partition
+		var parts []*requestjournal.Partition
 		for i := range 3 {
-			p := journal.Open(model.Partition(i), 0, nil)
-			p.Append(start, journal.Record{Kind: journal.RecordIntent, ID: "r"})
+			p := requestjournal.Open(model.Partition(i), 0, nil)
+			p.Append(start, requestjournal.Record{Kind: requestjournal.RecordIntent, ID: "r"})
 			_, ok := p.Next(start, budget)
 			Expect(ok).To(BeFalse())
 			parts = append(parts, p)
 		}
 		var order []model.Partition
 		for now := start; len(order) < 3; now = now.Add(100 * time.Millisecond) {
-			for _, p := range []*journal.Partition{parts[2], parts[0], parts[1]} {
+			for _, p := range []*requestjournal.Partition{parts[2], parts[0], parts[1]} {
 				if _, ok := p.Next(now, budget); ok {
 					order = append(order, p.ID())
 				}
@@ -228,7 +228,7 @@
 	})
 })
 
-func same(a, b journal.Entry) bool {
+func same(a, b requestjournal.Entry) bool {
 	return a.AcceptedAt.Equal(b.AcceptedAt) && a.SettledAt.Equal(b.SettledAt) && a.Forgotten == b.Forgotten &&
 		a.ForgottenAt.Equal(b.ForgottenAt) && (a.Request == nil) == (b.Request == nil) &&
 		(a.Request == nil || a.Request.SameAs(b.Request)) && (a.Outcome == nil) == (b.Outcome == nil) &&
--- a/journal/size.go
+++ b/requestjournal/size.go
@@ -1,4 +1,4 @@
-package journal
+package requestjournal
 
 // recordOverhead is the encoded size of a record without its variable fields,
 // rounded up: a request with resources and digests takes about 150 bytes.
--- a/journal/suite_test.go
+++ b/requestjournal/suite_test.go
@@ -1,4 +1,4 @@
-package journal_test
+package requestjournal_test
 
 import (
 	"testing"
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -16,7 +16,7 @@
 	// knows what they consist of only by these imports and by what build reads.
 	_ "fuchsiacross/daemon"
 	_ "fuchsiacross/linkstandin"
-	_ "fuchsiacross/platformstandin"
+	_ "fuchsiacross/tableservicestandin"
 )
 
 var programs string
--- a/scheduler/cases_test.go
+++ b/scheduler/cases_test.go
@@ -9,14 +9,14 @@
 
 	"fuchsiacross/document"
 	"fuchsiacross/event"
-	"fuchsiacross/journal"
 	"fuchsiacross/model"
+	"fuchsiacross/requestjournal"
 )
 
 // holder returns the instance that claimed a request's partition last.
 func (c *cell) holder(id model.RequestID) *node {
-	p := journal.PartitionOf(id, partitions)
-	owner, _ := journal.Open(p, c.store.heads[p].version, c.store.heads[p].records).Holder()
+	p := requestjournal.PartitionOf(id, partitions)
+	owner, _ := requestjournal.Open(p, c.store.heads[p].version, c.store.heads[p].records).Holder()
 	return c.node(owner)
 }
 
--- a/scheduler/reducer.go
+++ b/scheduler/reducer.go
@@ -9,11 +9,11 @@
 	"fuchsiacross/entry"
 	"fuchsiacross/event"
 	"fuchsiacross/home"
-	"fuchsiacross/journal"
 	"fuchsiacross/lease"
 	"fuchsiacross/membership"
 	"fuchsiacross/model"
 	"fuchsiacross/placement"
+	"fuchsiacross/requestjournal"
 )
 
 // Options configure a Reducer.
@@ -56,7 +56,7 @@
 	queue    *admission.Queue
 	quota    *admission.Quota
 	retries  *admission.RetryBudget
-	writes   *journal.Budget
+	writes   *requestjournal.Budget
 	document *document.Document
 	call     event.CallID
 	tokens   map[event.Token]model.RequestID
@@ -90,7 +90,7 @@
 	r.quota = admission.NewQuota()
 	r.queue = admission.NewQueue(admission.DefaultOptions(), r.teamShare)
 	r.retries = admission.NewRetryBudget(0)
-	r.writes = journal.NewBudget(now, o.StoreWritesPerSecond)
+	r.writes = requestjournal.NewBudget(now, o.StoreWritesPerSecond)
 	r.leases = lease.New(lease.Options{
 		Self:       o.Self.ID,
 		Index:      r.index,
--- a/scheduler/store_test.go
+++ b/scheduler/store_test.go
@@ -5,13 +5,13 @@
 
 	"fuchsiacross/document"
 	"fuchsiacross/event"
-	"fuchsiacross/journal"
 	"fuchsiacross/model"
+	"fuchsiacross/requestjournal"
 )
 
 type head struct {
-	version journal.Version
-	records []journal.Record
+	version requestjournal.Version
+	records []requestjournal.Record
 }
 
 // store is the table service with conditional appends, outages, and appends
@@ -66,9 +66,9 @@
 	})
 }
 
-func (s *store) commit(n *node, id event.CallID, p model.Partition, v journal.Version, records []journal.Record, replace bool) {
+func (s *store) commit(n *node, id event.CallID, p model.Partition, v requestjournal.Version, records []requestjournal.Record, replace bool) {
 	life := n.life
-	answer := func(r event.CommitResult, version journal.Version) {
+	answer := func(r event.CommitResult, version requestjournal.Version) {
 		n.take(life, event.CommitDone{Commit: id, Partition: p, Version: version, Result: r})
 	}
 	if s.cut(n) {
@@ -98,9 +98,9 @@
 }
 
 // entry replays the journal of a request's partition.
-func (s *store) entry(id model.RequestID) (*journal.Entry, bool) {
-	p := journal.PartitionOf(id, partitions)
-	return journal.Open(p, s.heads[p].version, s.heads[p].records).Entry(id)
+func (s *store) entry(id model.RequestID) (*requestjournal.Entry, bool) {
+	p := requestjournal.PartitionOf(id, partitions)
+	return requestjournal.Open(p, s.heads[p].version, s.heads[p].records).Entry(id)
 }
 
 // edit commits a new document revision.
--- a/platform/cell_test.go
+++ b/tableservice/cell_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package tableservice_test
 
 import (
 	"fmt"
@@ -9,31 +9,31 @@
 	. "github.com/onsi/gomega"
 
 	"fuchsiacross/event"
-	"fuchsiacross/journal"
 	"fuchsiacross/model"
-	"fuchsiacross/platform"
-	"fuchsiacross/platformstandin"
+	"fuchsiacross/requestjournal"
+	"fuchsiacross/tableservice"
+	"fuchsiacross/tableservicestandin"
 )
 
 // holder appends acceptances to one partition at a rate, as a reducer would.
 type holder struct {
 	instance  *instance
-	partition *journal.Partition
-	budget    *journal.Budget
+	partition *requestjournal.Partition
+	budget    *requestjournal.Budget
 	appended  int
 	committed int
 }
 
-func newHolder(p *platformstandin.Platform, id model.Partition, share float64) *holder {
-	i := connect(p, func(o *platform.Options) {
+func newHolder(p *tableservicestandin.Platform, id model.Partition, share float64) *holder {
+	i := connect(p, func(o *tableservice.Options) {
 		o.Self = model.InstanceID(fmt.Sprintf("entry-%d", id))
 		o.ListMilliseconds = 500
 	})
 	loaded := i.load(id)
 	return &holder{
 		instance:  i,
-		partition: journal.Open(id, loaded.Version, loaded.Records),
-		budget:    journal.NewBudget(time.Now(), share),
+		partition: requestjournal.Open(id, loaded.Version, loaded.Records),
+		budget:    requestjournal.NewBudget(time.Now(), share),
 	}
 }
 
@@ -95,14 +95,14 @@
 		for _, h := range holders {
 			wait.Go(func() { h.run(7*time.Millisecond, stop) })
 		}
-		p.SetFaults(platformstandin.Faults{LoseShare: 0.1})
+		p.SetFaults(tableservicestandin.Faults{LoseShare: 0.1})
 		time.Sleep(2 * time.Second)
-		p.SetFaults(platformstandin.Faults{Down: true})
+		p.SetFaults(tableservicestandin.Faults{Down: true})
 		time.Sleep(time.Second)
 		p.ResetCounters()
 		time.Sleep(3 * time.Second)
 		down := p.Counters()
-		p.SetFaults(platformstandin.Faults{})
+		p.SetFaults(tableservicestandin.Faults{})
 		p.ResetCounters()
 		time.Sleep(2 * time.Second)
 		close(stop)
--- a/platform/doc.go
+++ b/tableservice/doc.go
@@ -1,4 +1,4 @@
-// Package platform is the adapter to the platform's table service, object store
+// Package tableservice is the adapter to the platform's table service, object store
 // and list of instances, over connect as defined in platformv1.
 //
 // A Client carries out the reducer's journal and document effects and posts
@@ -25,7 +25,7 @@
 //
 // # Usage
 //
-//	client := platform.New(platform.Options{
+//	client := tableservice.New(tableservice.Options{
 //		Address: settings.Platform,
 //		Self:    settings.Instance,
 //		Life:    life,
@@ -38,4 +38,4 @@
 //			continue
 //		}
 //	}
-package platform
+package tableservice
--- a/platform/document_test.go
+++ b/tableservice/document_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package tableservice_test
 
 import (
 	"context"
@@ -14,12 +14,12 @@
 	"fuchsiacross/document"
 	"fuchsiacross/event"
 	"fuchsiacross/model"
-	"fuchsiacross/platform"
-	"fuchsiacross/platformstandin"
+	"fuchsiacross/tableservice"
+	"fuchsiacross/tableservicestandin"
 )
 
-func edit(section string, revision model.Revision, id, body string) platform.Edit {
-	return platform.Edit{Section: section, Body: []byte(body), SectionRevision: revision, EditID: id, Team: "gates"}
+func edit(section string, revision model.Revision, id, body string) tableservice.Edit {
+	return tableservice.Edit{Section: section, Body: []byte(body), SectionRevision: revision, EditID: id, Team: "gates"}
 }
 
 var _ = Describe("Document", func() {
@@ -31,18 +31,18 @@
 		p := standIn()
 		a := connect(p)
 		Expect(a.ReadDocument(ctx, nil)).To(BeNil())
-		for i, e := range []platform.Edit{
+		for i, e := range []tableservice.Edit{
 			edit("gates", 0, "e-1", `{"owners":["gates"],"quota":{"milli_cpu":1}}`),
 			edit("cell", 0, "e-2", `{"owners":["gates"]}`),
 			edit("gates", 1, "e-3", `{"owners":["gates"],"quota":{"milli_cpu":2}}`),
 		} {
 			r, err := a.Edit(ctx, e)
 			Expect(err).NotTo(HaveOccurred())
-			Expect(r).To(Equal(platform.EditResult{
+			Expect(r).To(Equal(tableservice.EditResult{
 				Applied: true, Revision: model.Revision(i + 1), SectionRevision: e.SectionRevision + 1,
 			}))
 		}
-		b := connect(p, func(o *platform.Options) { o.PollHead = func() bool { return false } })
+		b := connect(p, func(o *tableservice.Options) { o.PollHead = func() bool { return false } })
 		await[event.ListRead](b) // the only poll, so that the reads below are the test's own
 		d, err := b.ReadDocument(ctx, nil)
 		Expect(err).NotTo(HaveOccurred())
@@ -96,7 +96,7 @@
 	It("returns the earlier result of a known edit", func() {
 		p := standIn()
 		a := connect(p)
-		p.SetFaults(platformstandin.Faults{LoseAnswers: 1})
+		p.SetFaults(tableservicestandin.Faults{LoseAnswers: 1})
 		first, err := a.Edit(ctx, edit("gates", 0, "e-1", `{"owners":["gates"]}`))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(first.Applied).To(BeTrue())
@@ -104,21 +104,21 @@
 		Expect(err).NotTo(HaveOccurred())
 		again, err := connect(p).Edit(ctx, edit("gates", 0, "e-1", `{"owners":["gates"]}`))
 		Expect(err).NotTo(HaveOccurred())
-		Expect(again).To(Equal(platform.EditResult{Applied: true, Repeated: true, Revision: 1, SectionRevision: 1}))
+		Expect(again).To(Equal(tableservice.EditResult{Applied: true, Repeated: true, Revision: 1, SectionRevision: 1}))
 		_, err = a.Edit(ctx, edit("gates", 2, "e-1", `{"b":1}`))
-		Expect(errors.Is(err, platform.ErrEditReused)).To(BeTrue())
+		Expect(errors.Is(err, tableservice.ErrEditReused)).To(BeTrue())
 	})
 
 	// An edit whose result is not known must not be reported as refused.
 	It("says when an edit is unknown", func() {
 		p := standIn()
 		a := connect(p)
-		p.SetFaults(platformstandin.Faults{SlowMilliseconds: 300})
+		p.SetFaults(tableservicestandin.Faults{SlowMilliseconds: 300})
 		short, cancel := context.WithTimeout(ctx, 800*time.Millisecond)
 		defer cancel()
 		_, err := a.Edit(short, edit("gates", 0, "e-1", `{"owners":["gates"]}`))
-		Expect(errors.Is(err, platform.ErrEditUnknown)).To(BeTrue(), "%v", err)
-		p.SetFaults(platformstandin.Faults{})
+		Expect(errors.Is(err, tableservice.ErrEditUnknown)).To(BeTrue(), "%v", err)
+		p.SetFaults(tableservicestandin.Faults{})
 		r, err := a.Edit(ctx, edit("gates", 0, "e-1", `{"owners":["gates"]}`))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(r.Applied).To(BeTrue())
@@ -135,7 +135,7 @@
 	// An instance that does not learn of an edit keeps placing by an old document.
 	It("posts a document that another instance committed", func() {
 		p := standIn()
-		b := connect(p, func(o *platform.Options) { o.HeadMilliseconds = 20 })
+		b := connect(p, func(o *tableservice.Options) { o.HeadMilliseconds = 20 })
 		a := connect(p)
 		_, err := a.Edit(ctx, edit("gates", 0, "e-1", `{"owners":["gates"]}`))
 		Expect(err).NotTo(HaveOccurred())
@@ -155,7 +155,7 @@
 		workers := []model.Worker{{ID: "w-1", Address: p.Address(), DataCentre: "a", Rack: "r"}}
 		instances := []model.Instance{{ID: "entry-1", Address: p.Address(), DataCentre: "a", Weight: 1}}
 		p.SetList(workers, instances)
-		a := connect(p, func(o *platform.Options) { o.ListMilliseconds = 20 })
+		a := connect(p, func(o *tableservice.Options) { o.ListMilliseconds = 20 })
 		Expect(await[event.ListRead](a)).To(Equal(event.ListRead{Workers: workers, Instances: instances}))
 		polls := a.count("reads")
 		await[event.ListRead](a)
@@ -163,15 +163,15 @@
 		workers[0].Leaving = true
 		p.SetList(workers, instances)
 		Eventually(func() bool { return await[event.ListRead](a).Workers[0].Leaving }).Should(BeTrue())
-		p.SetFaults(platformstandin.Faults{Down: true})
+		p.SetFaults(tableservicestandin.Faults{Down: true})
 		await[event.ListFailed](a)
 	})
 
 	// A list that is wrong must not be taken as an empty one.
 	It("serves an old list when it lags", func() {
 		p := standIn()
-		p.SetFaults(platformstandin.Faults{ListLagMilliseconds: 200})
-		a := connect(p, func(o *platform.Options) { o.ListMilliseconds = 20 })
+		p.SetFaults(tableservicestandin.Faults{ListLagMilliseconds: 200})
+		a := connect(p, func(o *tableservice.Options) { o.ListMilliseconds = 20 })
 		set := time.Now()
 		p.SetList([]model.Worker{{ID: "w-1", Address: p.Address()}}, nil)
 		Eventually(func() int { return len(await[event.ListRead](a).Workers) }).Should(Equal(1))
@@ -188,6 +188,6 @@
 		Expect(digest).To(Equal(model.DigestOf([]byte("body"))))
 		Expect(a.FetchBody(context.Background(), digest)).To(Equal([]byte("body")))
 		_, err = a.FetchBody(context.Background(), model.DigestOf(nil))
-		Expect(errors.Is(err, platform.ErrNoObject)).To(BeTrue())
+		Expect(errors.Is(err, tableservice.ErrNoObject)).To(BeTrue())
 	})
 })
--- a/platform/document_wire.go
+++ b/tableservice/document_wire.go
@@ -1,4 +1,4 @@
-package platform
+package tableservice
 
 // The wire forms of the document's rows.
 type (
--- a/platform/journal_commit.go
+++ b/tableservice/journal_commit.go
@@ -1,4 +1,4 @@
-package platform
+package tableservice
 
 import (
 	"context"
@@ -8,10 +8,10 @@
 	"go.uber.org/zap"
 
 	"fuchsiacross/event"
-	"fuchsiacross/journal"
 	"fuchsiacross/logevent"
 	"fuchsiacross/model"
 	"fuchsiacross/platformv1"
+	"fuchsiacross/requestjournal"
 )
 
 // deleteLimit bounds the rows that one transaction deletes. Batches beyond it
@@ -37,7 +37,7 @@
 // write appends records to a partition's journal after start has changed what
 // the head says of the batches before, and posts the certain result.
 func (c *Client) write(
-	commit event.CallID, p model.Partition, version journal.Version, records []journal.Record, start func(storedJournal) storedJournal,
+	commit event.CallID, p model.Partition, version requestjournal.Version, records []requestjournal.Record, start func(storedJournal) storedJournal,
 ) {
 	began := time.Now()
 	s, r, err := c.appendRows(c.context, p, version, records, start)
@@ -61,7 +61,7 @@
 // appendRows returns what the client knows of the partition when the result is
 // CommitApplied.
 func (c *Client) appendRows(
-	ctx context.Context, p model.Partition, version journal.Version, records []journal.Record,
+	ctx context.Context, p model.Partition, version requestjournal.Version, records []requestjournal.Record,
 	start func(storedJournal) storedJournal,
 ) (storedJournal, result, error) {
 	failed := func(err error) (storedJournal, result, error) {
@@ -101,7 +101,7 @@
 
 // encodeBatches returns the values of the rows that hold records, each as full
 // as the limit of a row allows.
-func (c *Client) encodeBatches(ctx context.Context, records []journal.Record) ([][]byte, error) {
+func (c *Client) encodeBatches(ctx context.Context, records []requestjournal.Record) ([][]byte, error) {
 	stored, err := c.storeLong(ctx, records)
 	if err != nil {
 		return nil, err
--- a/platform/journal_load.go
+++ b/tableservice/journal_load.go
@@ -1,4 +1,4 @@
-package platform
+package tableservice
 
 import (
 	"context"
@@ -7,9 +7,9 @@
 	"go.uber.org/zap"
 
 	"fuchsiacross/event"
-	"fuchsiacross/journal"
 	"fuchsiacross/logevent"
 	"fuchsiacross/model"
+	"fuchsiacross/requestjournal"
 )
 
 // loadTries bounds the readings of a journal that another writer compacts
@@ -31,7 +31,7 @@
 // readJournal reads a whole journal. Pages are read one after the other, so the
 // head is read again at the end: appends in between only add rows, and after a
 // compaction in between the reading starts again.
-func (c *Client) readJournal(ctx context.Context, p model.Partition) (storedJournal, []journal.Record, error) {
+func (c *Client) readJournal(ctx context.Context, p model.Partition) (storedJournal, []requestjournal.Record, error) {
 	for range loadTries {
 		before, err := c.readHead(ctx, p)
 		if err != nil || before.version == 0 {
@@ -73,17 +73,17 @@
 
 // decodeBatches returns the records of a head's batches in order. Stored answers
 // of requests that a later record forgets are not fetched.
-func (c *Client) decodeBatches(ctx context.Context, s storedJournal, batches map[uint64]batchWire) ([]journal.Record, error) {
+func (c *Client) decodeBatches(ctx context.Context, s storedJournal, batches map[uint64]batchWire) ([]requestjournal.Record, error) {
 	forgotten := make(map[string]bool)
 	for number := s.head.First; number < s.head.Next; number++ {
 		for _, w := range batches[number].Records {
-			if journal.RecordKind(w.Kind) == journal.RecordForget {
+			if requestjournal.RecordKind(w.Kind) == requestjournal.RecordForget {
 				forgotten[w.ID] = true
 			}
 		}
 	}
 	answers := &unpacker{client: c, objects: make(map[model.Digest][]byte)}
-	var records []journal.Record
+	var records []requestjournal.Record
 	for number := s.head.First; number < s.head.Next; number++ {
 		for _, w := range batches[number].Records {
 			codec := &recordCodec{fetch: func(l location) ([]byte, error) {
--- a/platform/journal_test.go
+++ b/tableservice/journal_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package tableservice_test
 
 import (
 	"fmt"
@@ -7,10 +7,10 @@
 	. "github.com/onsi/gomega"
 
 	"fuchsiacross/event"
-	"fuchsiacross/journal"
 	"fuchsiacross/model"
-	"fuchsiacross/platform"
-	"fuchsiacross/platformstandin"
+	"fuchsiacross/requestjournal"
+	"fuchsiacross/tableservice"
+	"fuchsiacross/tableservicestandin"
 )
 
 var _ = Describe("Journal", func() {
@@ -20,8 +20,8 @@
 		p := standIn()
 		a := connect(p)
 		Expect(a.load(12).Records).To(BeEmpty())
-		var records []journal.Record
-		version := journal.Version(0)
+		var records []requestjournal.Record
+		version := requestjournal.Version(0)
 		for i := range 20 {
 			batch := request(model.RequestID(fmt.Sprintf("r-%d", i)), i*1000+1)
 			done := a.commit(12, version, batch...)
@@ -41,7 +41,7 @@
 	It("joins long answers and stores them once", func() {
 		p := standIn()
 		a := connect(p)
-		var records []journal.Record
+		var records []requestjournal.Record
 		for i := range 100 {
 			records = append(records, request(model.RequestID(fmt.Sprintf("r-%d", i)), 5000+i)...)
 		}
@@ -60,7 +60,7 @@
 	It("spreads a long batch over rows in one transaction", func() {
 		p := standIn()
 		a := connect(p)
-		var records []journal.Record
+		var records []requestjournal.Record
 		for i := range 300 {
 			records = append(records, request(model.RequestID(fmt.Sprintf("r-%d", i)), 4000)...)
 		}
@@ -73,14 +73,14 @@
 	// holder knows as not started could be started by the old one.
 	It("refuses a stale writer", func() {
 		p := standIn()
-		a, b := connect(p), connect(p, func(o *platform.Options) { o.Self = "entry-2" })
+		a, b := connect(p), connect(p, func(o *tableservice.Options) { o.Self = "entry-2" })
 		Expect(a.load(1).Version).To(BeZero())
 		Expect(b.load(1).Version).To(BeZero())
 		first := a.commit(1, 0, claim("entry-1"))
 		Expect(first.Result).To(Equal(event.CommitApplied))
 		Expect(b.commit(1, 0, claim("entry-2")).Result).To(Equal(event.CommitConflict))
 		loaded := b.load(1)
-		Expect(loaded.Records).To(Equal([]journal.Record{claim("entry-1")}))
+		Expect(loaded.Records).To(Equal([]requestjournal.Record{claim("entry-1")}))
 		paused := connect(p)
 		paused.load(1)
 		taken := b.commit(1, loaded.Version, claim("entry-2"))
@@ -93,7 +93,7 @@
 		Expect(compacted.Result).To(Equal(event.CommitApplied))
 		Expect(paused.commit(1, first.Version, request("r", 1)...).Result).To(Equal(event.CommitConflict))
 		Expect(a.commit(1, taken.Version, request("r", 1)...).Result).To(Equal(event.CommitConflict))
-		Expect(a.load(1).Records).To(Equal([]journal.Record{claim("entry-2")}))
+		Expect(a.load(1).Records).To(Equal([]requestjournal.Record{claim("entry-2")}))
 		Expect(p.Rows("journal/1/0")).To(HaveLen(1))
 	})
 
@@ -121,12 +121,12 @@
 	// lost after its caller was told that it is accepted.
 	It("resolves a lost answer", func() {
 		tests := []struct {
-			faults platformstandin.Faults
+			faults tableservicestandin.Faults
 			result event.CommitResult
 			rows   int
 		}{
-			{platformstandin.Faults{LoseAnswers: 1}, event.CommitApplied, 2},
-			{platformstandin.Faults{DropRequests: 1}, event.CommitFailed, 0},
+			{tableservicestandin.Faults{LoseAnswers: 1}, event.CommitApplied, 2},
+			{tableservicestandin.Faults{DropRequests: 1}, event.CommitFailed, 0},
 		}
 		for _, test := range tests {
 			p := standIn()
@@ -147,11 +147,11 @@
 		p := standIn()
 		a := connect(p)
 		a.load(1)
-		p.SetFaults(platformstandin.Faults{SlowMilliseconds: 700})
+		p.SetFaults(tableservicestandin.Faults{SlowMilliseconds: 700})
 		done := a.commit(1, 0, claim("entry-1"))
 		Expect(done.Result).To(BeElementOf(event.CommitApplied, event.CommitFailed))
 		Expect(a.count("resolved")).To(BeEquivalentTo(1))
-		p.SetFaults(platformstandin.Faults{})
+		p.SetFaults(tableservicestandin.Faults{})
 		loaded := connect(p).load(1)
 		Expect(len(loaded.Records) == 1).To(Equal(done.Result == event.CommitApplied))
 	})
@@ -160,13 +160,13 @@
 	// platform answers, and later commits fail without being sent.
 	It("reports only certain results over an outage", func() {
 		p := standIn()
-		a := connect(p, func(o *platform.Options) { o.ListMilliseconds = 100 })
+		a := connect(p, func(o *tableservice.Options) { o.ListMilliseconds = 100 })
 		a.load(1)
 		a.load(2)
-		p.SetFaults(platformstandin.Faults{Hang: true})
+		p.SetFaults(tableservicestandin.Faults{Hang: true})
 		a.Apply(event.CommitJournal{Partition: 1, Records: request("r", 1)})
 		await[event.ListFailed](a)
-		p.SetFaults(platformstandin.Faults{Down: true})
+		p.SetFaults(tableservicestandin.Faults{Down: true})
 		p.ResetCounters()
 		for range 3 {
 			done := a.commit(2, 0, request("s", 1)...)
@@ -175,7 +175,7 @@
 		}
 		calls := p.Counters()
 		Expect(float64(calls.Calls) / calls.Seconds).To(BeNumerically("<", 4))
-		p.SetFaults(platformstandin.Faults{})
+		p.SetFaults(tableservicestandin.Faults{})
 		done := await[event.CommitDone](a)
 		Expect(done.Partition).To(BeEquivalentTo(1))
 		Expect(done.Result).To(Equal(event.CommitFailed))
--- a/platform/object.go
+++ b/tableservice/object.go
@@ -1,4 +1,4 @@
-package platform
+package tableservice
 
 import (
 	"context"
--- a/platform/pack.go
+++ b/tableservice/pack.go
@@ -1,4 +1,4 @@
-package platform
+package tableservice
 
 import (
 	"context"
@@ -6,9 +6,9 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
-	"fuchsiacross/journal"
 	"fuchsiacross/logevent"
 	"fuchsiacross/model"
+	"fuchsiacross/requestjournal"
 )
 
 // packLimit is the size in bytes above which an object takes no more answers.
@@ -24,7 +24,7 @@
 // storeLong stores the long bytes of records and returns where they are. Those
 // that are not in the store yet are joined into few objects: one object for
 // each would make a batch of long answers cost as many writes as requests.
-func (c *Client) storeLong(ctx context.Context, records []journal.Record) (map[model.Digest]location, error) {
+func (c *Client) storeLong(ctx context.Context, records []requestjournal.Record) (map[model.Digest]location, error) {
 	var (
 		at     = make(map[model.Digest]location)
 		pack   []byte
@@ -80,7 +80,7 @@
 }
 
 // longBytes returns the bytes of a record that may be long.
-func longBytes(r *journal.Record) [][]byte {
+func longBytes(r *requestjournal.Record) [][]byte {
 	var all [][]byte
 	if r.Request != nil {
 		all = append(all, r.Request.Body)
--- a/platform/record_codec.go
+++ b/tableservice/record_codec.go
@@ -1,10 +1,10 @@
-package platform
+package tableservice
 
 import (
 	"github.com/go-faster/errors"
 
-	"fuchsiacross/journal"
 	"fuchsiacross/model"
+	"fuchsiacross/requestjournal"
 )
 
 // externalLimit is the size in bytes above which bytes are stored as an object.
@@ -17,7 +17,7 @@
 	fetch func(location) ([]byte, error)
 }
 
-func (c *recordCodec) wire(r *journal.Record) recordWire {
+func (c *recordCodec) wire(r *requestjournal.Record) recordWire {
 	w := recordWire{
 		Kind:       uint8(r.Kind),
 		At:         nanoseconds(r.At),
@@ -80,10 +80,10 @@
 	return all
 }
 
-func (c *recordCodec) record(w *recordWire) (journal.Record, error) {
+func (c *recordCodec) record(w *recordWire) (requestjournal.Record, error) {
 	w.complete()
-	r := journal.Record{
-		Kind:       journal.RecordKind(w.Kind),
+	r := requestjournal.Record{
+		Kind:       requestjournal.RecordKind(w.Kind),
 		At:         timeOf(w.At),
 		ID:         model.RequestID(w.ID),
 		Holder:     model.InstanceID(w.Holder),
--- a/platform/record_wire.go
+++ b/tableservice/record_wire.go
@@ -1,4 +1,4 @@
-package platform
+package tableservice
 
 // The wire forms of journal records. Keys are never reused for another meaning.
 // Stored names the object that holds bytes that are too long for a row.
--- a/platform/stored_journal.go
+++ b/tableservice/stored_journal.go
@@ -1,4 +1,4 @@
-package platform
+package tableservice
 
 import (
 	"context"
@@ -9,14 +9,14 @@
 
 	"github.com/go-faster/errors"
 
-	"fuchsiacross/journal"
 	"fuchsiacross/model"
 	"fuchsiacross/platformv1"
+	"fuchsiacross/requestjournal"
 )
 
 // storedJournal is what the client knows of a partition's rows.
 type storedJournal struct {
-	version journal.Version // of the head row
+	version requestjournal.Version // of the head row
 	head    headWire
 	left    []uint64 // batches before head.First that still have a row
 }
@@ -97,7 +97,7 @@
 	if err != nil {
 		return storedJournal{}, err
 	}
-	s := storedJournal{version: journal.Version(row.Version)}
+	s := storedJournal{version: requestjournal.Version(row.Version)}
 	if row.Version == 0 {
 		return s, nil
 	}
@@ -106,7 +106,7 @@
 
 // currentHead returns the rows of a partition at a version, from memory or from
 // the table. Its version differs when the partition has another version.
-func (c *Client) currentHead(ctx context.Context, p model.Partition, version journal.Version) (storedJournal, error) {
+func (c *Client) currentHead(ctx context.Context, p model.Partition, version requestjournal.Version) (storedJournal, error) {
 	if s, ok := c.journals.get(p); ok && s.version == version {
 		return s, nil
 	}
--- a/platform/suite_test.go
+++ b/tableservice/suite_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package tableservice_test
 
 import (
 	"context"
@@ -12,10 +12,10 @@
 	"github.com/rcrowley/go-metrics"
 
 	"fuchsiacross/event"
-	"fuchsiacross/journal"
 	"fuchsiacross/model"
-	"fuchsiacross/platform"
-	"fuchsiacross/platformstandin"
+	"fuchsiacross/requestjournal"
+	"fuchsiacross/tableservice"
+	"fuchsiacross/tableservicestandin"
 )
 
 func TestPlatform(t *testing.T) {
@@ -30,8 +30,8 @@
 var loopback = netip.MustParseAddrPort("127.0.0.1:0")
 
 // standIn starts a stand-in that ends with the test.
-func standIn() *platformstandin.Platform {
-	p, err := platformstandin.New(platformstandin.Options{Address: loopback})
+func standIn() *tableservicestandin.Platform {
+	p, err := tableservicestandin.New(tableservicestandin.Options{Address: loopback})
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(p.Close)
 	return p
@@ -39,15 +39,15 @@
 
 // instance is a client with the events that it posted.
 type instance struct {
-	*platform.Client
+	*tableservice.Client
 	metrics metrics.Registry
 	events  chan event.Event
 }
 
 // connect starts a client that ends with the test.
-func connect(p *platformstandin.Platform, change ...func(*platform.Options)) *instance {
+func connect(p *tableservicestandin.Platform, change ...func(*tableservice.Options)) *instance {
 	i := &instance{metrics: metrics.NewRegistry(), events: make(chan event.Event, 10_000)}
-	o := platform.Options{
+	o := tableservice.Options{
 		Address:          p.Address(),
 		Self:             "entry-1",
 		Life:             1,
@@ -60,7 +60,7 @@
 	for _, f := range change {
 		f(&o)
 	}
-	i.Client = platform.New(o)
+	i.Client = tableservice.New(o)
 	DeferCleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 		defer cancel()
@@ -95,20 +95,20 @@
 	return await[event.JournalLoaded](i)
 }
 
-func (i *instance) commit(p model.Partition, version journal.Version, records ...journal.Record) event.CommitDone {
+func (i *instance) commit(p model.Partition, version requestjournal.Version, records ...requestjournal.Record) event.CommitDone {
 	GinkgoHelper()
 	Expect(i.Apply(event.CommitJournal{Partition: p, Version: version, Records: records})).To(BeTrue())
 	return await[event.CommitDone](i)
 }
 
-func (i *instance) compact(p model.Partition, version journal.Version, records ...journal.Record) event.CommitDone {
+func (i *instance) compact(p model.Partition, version requestjournal.Version, records ...requestjournal.Record) event.CommitDone {
 	GinkgoHelper()
 	Expect(i.Apply(event.CompactJournal{Partition: p, Version: version, Records: records})).To(BeTrue())
 	return await[event.CommitDone](i)
 }
 
 // request returns the records of a settled request with an answer of a length.
-func request(id model.RequestID, answer int) []journal.Record {
+func request(id model.RequestID, answer int) []requestjournal.Record {
 	attempt := model.Attempt{Request: id, Task: 0, Number: 1}
 	body := []byte("body of " + id)
 	o := &model.Outcome{Status: model.StatusDone, Answer: make([]byte, answer), Worker: "w-1", Attempt: attempt}
@@ -116,18 +116,18 @@
 		o.Answer[i] = byte(i)
 	}
 	o.Digest = model.DigestOf(o.Answer)
-	return []journal.Record{
-		{Kind: journal.RecordAccepted, At: start, ID: id, Request: &model.Request{
+	return []requestjournal.Record{
+		{Kind: requestjournal.RecordAccepted, At: start, ID: id, Request: &model.Request{
 			ID: id, Team: "agronomists", Workload: "season", Kind: model.KindRequest, Class: model.ClassStandard,
 			Resources: model.Resources{MilliCPU: 500, MemoryBytes: 1 << 20, Slots: 1}, Tasks: 1,
 			Deadline: start.Add(time.Minute), SubmittedAt: start,
 			Body: body, BodyLength: int64(len(body)), BodyDigest: model.DigestOf(body),
 		}},
-		{Kind: journal.RecordIntent, At: start, ID: id, Attempt: attempt, Worker: "w-1"},
-		{Kind: journal.RecordOutcome, At: start, ID: id, Outcome: o},
+		{Kind: requestjournal.RecordIntent, At: start, ID: id, Attempt: attempt, Worker: "w-1"},
+		{Kind: requestjournal.RecordOutcome, At: start, ID: id, Outcome: o},
 	}
 }
 
-func claim(holder model.InstanceID) journal.Record {
-	return journal.Record{Kind: journal.RecordClaim, At: start, Holder: holder, Life: 1}
+func claim(holder model.InstanceID) requestjournal.Record {
+	return requestjournal.Record{Kind: requestjournal.RecordClaim, At: start, Holder: holder, Life: 1}
 }
--- a/platformstandin/counters.go
+++ b/tableservicestandin/counters.go
@@ -1,4 +1,4 @@
-package platformstandin
+package tableservicestandin
 
 import (
 	"sync"
--- a/platformstandin/doc.go
+++ b/tableservicestandin/doc.go
@@ -1,4 +1,4 @@
-// Package platformstandin stands in for the platform in tests: the table
+// Package tableservicestandin stands in for the platform in tests: the table
 // service, the object store and the list of instances of platformv1 on one
 // address, in memory, with faults that a test or a script sets.
 //
@@ -19,11 +19,11 @@
 //
 // # Usage
 //
-//	p, err := platformstandin.New(platformstandin.Options{Address: netip.MustParseAddrPort("127.0.0.1:0")})
+//	p, err := tableservicestandin.New(tableservicestandin.Options{Address: netip.MustParseAddrPort("127.0.0.1:0")})
 //	if err != nil {
 //		return err
 //	}
 //	defer p.Close()
 //	p.SetList(workers, instances)
-//	p.SetFaults(platformstandin.Faults{Down: true})
-package platformstandin
+//	p.SetFaults(tableservicestandin.Faults{Down: true})
+package tableservicestandin
--- a/platformstandin/platform_test.go
+++ b/tableservicestandin/platform_test.go
@@ -1,4 +1,4 @@
-package platformstandin_test
+package tableservicestandin_test
 
 import (
 	"context"
@@ -12,15 +12,15 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"fuchsiacross/platformstandin"
 	"fuchsiacross/platformv1"
 	"fuchsiacross/platformv1/platformv1connect"
+	"fuchsiacross/tableservicestandin"
 )
 
 var loopback = netip.MustParseAddrPort("127.0.0.1:0")
 
-func standIn() (*platformstandin.Platform, string) {
-	p, err := platformstandin.New(platformstandin.Options{Address: loopback})
+func standIn() (*tableservicestandin.Platform, string) {
+	p, err := tableservicestandin.New(tableservicestandin.Options{Address: loopback})
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(p.Close)
 	return p, "http://" + p.Address().String()
@@ -129,7 +129,7 @@
 	It("throttles above its limits", func() {
 		p, url := standIn()
 		table := platformv1connect.NewTableServiceClient(http.DefaultClient, url)
-		p.SetFaults(platformstandin.Faults{WritesPerSecond: 3})
+		p.SetFaults(tableservicestandin.Faults{WritesPerSecond: 3})
 		refused := 0
 		for i := range 10 {
 			_, err := table.Commit(ctx, commit(string(rune('a'+i)), string(rune('a'+i)), 0))
@@ -170,7 +170,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		entries = append(entries, dead.Addr().(*net.TCPAddr).AddrPort())
 		Expect(dead.Close()).To(Succeed())
-		b, err := platformstandin.NewBalancer(loopback, entries)
+		b, err := tableservicestandin.NewBalancer(loopback, entries)
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(b.Close)
 		var got string
--- a/platformstandin/suite_test.go
+++ b/tableservicestandin/suite_test.go
@@ -1,4 +1,4 @@
-package platformstandin_test
+package tableservicestandin_test
 
 import (
 	"testing"
--- a/platformstandin/views_test.go
+++ b/tableservicestandin/views_test.go
@@ -1,4 +1,4 @@
-package platformstandin_test
+package tableservicestandin_test
 
 import (
 	"context"
@@ -9,19 +9,19 @@
 	. "github.com/onsi/gomega"
 
 	"fuchsiacross/model"
-	"fuchsiacross/platformstandin"
 	"fuchsiacross/platformv1"
 	"fuchsiacross/platformv1/platformv1connect"
+	"fuchsiacross/tableservicestandin"
 )
 
 var _ = Describe("Views", func() {
 	// A view that reached other askers would cut links that a test left alone.
 	It("changes the list for one asker only", func() {
-		p, err := platformstandin.New(platformstandin.Options{Address: netip.MustParseAddrPort("0.0.0.0:0")})
+		p, err := tableservicestandin.New(tableservicestandin.Options{Address: netip.MustParseAddrPort("0.0.0.0:0")})
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(p.Close)
 		link := netip.MustParseAddrPort("127.0.0.9:1")
-		p.SetViews(platformstandin.Views{netip.MustParseAddr("127.0.3.1"): {"b": link}})
+		p.SetViews(tableservicestandin.Views{netip.MustParseAddr("127.0.3.1"): {"b": link}})
 		direct := netip.MustParseAddrPort("127.0.1.2:2")
 		p.SetList(nil, []model.Instance{{ID: "b", Address: direct}})
 		for _, c := range []struct {
