dispatch, jobstore: a job that two submissions have stored is new to no leader

A job counts as unknown to the predecessor if the instance that stored it tells the new leader. A client that gets no answer submits again; a slow store that performs writes late then takes one row from each submission, in different homes. The predecessor hears of the first row, the new leader is told of the second and does not wait until all workers are read.

Change: a report counts only if it names the row that was loaded, by the time of acceptance, and if no second submission has stored the job.

Before: both cases of the new test start the task twice.

--- a/dispatch/cell_test.go
+++ b/dispatch/cell_test.go
@@ -33,14 +33,15 @@
 	// laneCount is the number of instances that ask for advice.
 	laneCount int
 
-	jobs     map[job.ID]job.Job
-	handed   map[job.ID]time.Time
-	progress map[job.ID]dispatch.Progress
-	enrolled map[job.WorkerID]job.Worker
-	unloaded map[job.ID]bool // stored too late for the next leader's load
-	loading  func()          // called before a new leader has loaded the jobs
-	cancels  []job.ID
-	shown    map[job.ID]time.Time // when a job was first shown as completed
+	jobs        map[job.ID]job.Job
+	handed      map[job.ID]time.Time
+	progress    map[job.ID]dispatch.Progress
+	enrolled    map[job.WorkerID]job.Worker
+	unloaded    map[job.ID]bool // stored too late for the next leader's load
+	resubmitted []job.ID        // stored by two submissions
+	loading     func()          // called before a new leader has loaded the jobs
+	cancels     []job.ID
+	shown       map[job.ID]time.Time // when a job was first shown as completed
 
 	removedJobs []job.ID
 	removal     error // of removals
@@ -245,7 +246,7 @@
 }
 
 func (c *cell) stored() dispatch.JobsLoaded {
-	loaded := dispatch.JobsLoaded{Cancels: c.cancels, Workers: slices.Collect(maps.Values(c.enrolled))}
+	loaded := dispatch.JobsLoaded{Cancels: c.cancels, Resubmitted: c.resubmitted, Workers: slices.Collect(maps.Values(c.enrolled))}
 	for _, j := range c.jobs {
 		if !c.unloaded[j.ID] {
 			loaded.Jobs = append(loaded.Jobs, j)
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -248,6 +248,43 @@
 		Expect(c.violations).To(BeEmpty())
 	})
 
+	// A slow store had taken a job from two instances, in both of its homes. The
+	// predecessor started it, the new leader was told of the second row and took the
+	// job for new (own day store-partly-away on Kraamnet, seed 71: TWICE 1).
+	for _, test := range []struct {
+		name  string
+		told  time.Duration // how much later the instance that tells took the job
+		twice bool          // both rows were loaded
+	}{
+		{"a row that was not loaded", 600 * time.Millisecond, false},
+		{"one of the rows that were loaded", 0, true},
+	} {
+		It("starts no job of two submissions before all workers are read, told of "+test.name, func() {
+			c := newCell(2, 16, plain)
+			c.run(200 * time.Millisecond)
+			c.submit(newJob(1, "plain", job.Step{Tasks: 1, Demand: demand(4, 4), EstimateMilliseconds: 1500}))
+			c.run(300 * time.Millisecond)
+			c.firstRead = func(w job.WorkerID) time.Duration {
+				if len(c.workers[w].running) > 0 {
+					return time.Second
+				}
+				return 0
+			}
+			if test.twice {
+				c.resubmitted = []job.ID{id(1)}
+			}
+			c.loseLeader(300 * time.Millisecond)
+			c.run(400 * time.Millisecond)
+			again := c.jobs[id(1)]
+			again.AcceptedAt = again.AcceptedAt.Add(test.told)
+			c.apply(dispatch.JobAccepted{Job: again, Told: true})
+			c.run(5 * time.Second)
+			Expect(state(c, 1)).To(Equal(job.StateCompleted))
+			Expect(c.noted[dispatch.NoteRunStarted]).To(Equal(1))
+			Expect(c.violations).To(BeEmpty())
+		})
+	}
+
 	// Jobs that were stored while nobody led waited until every worker had been
 	// read, for 2.5 s if one did not answer.
 	It("starts jobs that no other leader was told of before all workers are read", func() {
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -10,17 +10,20 @@
 type (
 	// JobsLoaded carries what the store held when the leadership began. Nothing
 	// starts before it. Workers are those that an earlier leader has enrolled: any of
-	// them may run something, also if its registration is missing.
+	// them may run something, also if its registration is missing. Resubmitted names
+	// jobs that two submissions have stored, each in another home.
 	JobsLoaded struct {
-		Jobs     []job.Job
-		Progress []Progress
-		Cancels  []job.ID
-		Workers  []job.Worker
+		Jobs        []job.Job
+		Resubmitted []job.ID
+		Progress    []Progress
+		Cancels     []job.ID
+		Workers     []job.Worker
 	}
 	// JobOffered reports a job that is being stored. Advice is asked for already.
 	JobOffered struct{ Job job.Job }
 	// JobAccepted reports a stored job. Told is set if the instance that stored it
-	// has told this leader, and so no other one.
+	// has told this leader, and so no other one. Another instance may have stored the
+	// job, too, if the client has sent it twice.
 	JobAccepted struct {
 		Job  job.Job
 		Told bool
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -15,6 +15,7 @@
 	shown          job.State // the final state that is saved
 	begun          bool
 	uncertain      bool // a predecessor may have started its tasks
+	resubmitted    bool // two submissions have stored it
 	nextOccurrence int64
 	occurrences    map[int64]*occurrence
 	finished       int64           // occurrences whose steps are all done
@@ -27,6 +28,13 @@
 
 func (j *jobState) closed() bool { return j.state != "" }
 
+// storedBy reports whether one submission alone has stored the job, the one that an
+// instance tells of. A client that got no answer submits a job again, and a slow
+// store may take both, in different homes: an earlier leader may know the other.
+func (j *jobState) storedBy(told job.Job) bool {
+	return !j.resubmitted && j.job.AcceptedAt.Equal(told.AcceptedAt)
+}
+
 // advised reports whether advice on the job is to be stored.
 func (j *jobState) advised() bool {
 	for _, o := range j.occurrences {
--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -286,12 +286,17 @@
 	if r.retentionSeconds > 0 {
 		r.forgetOrphans(e.Progress)
 	}
+	for _, id := range e.Resubmitted {
+		if j := r.jobs[id]; j != nil {
+			j.resubmitted = true
+		}
+	}
 	for id, j := range r.jobs {
 		if j.closed() {
 			r.retire(j)
 		}
-		_, told := r.toldEarly[id]
-		j.uncertain = !j.closed() && !told
+		told, ok := r.toldEarly[id]
+		j.uncertain = !j.closed() && !(ok && j.storedBy(told))
 		r.openJob(j)
 	}
 	for id, j := range r.toldEarly {
@@ -316,7 +321,7 @@
 		}
 		return
 	case known != nil:
-		if told && known.uncertain {
+		if told && known.uncertain && known.storedBy(j) {
 			known.uncertain, r.changed = false, true
 		}
 		return
--- a/jobstore/jobstore.go
+++ b/jobstore/jobstore.go
@@ -314,7 +314,12 @@
 				if !twice {
 					known[change.Job.ID] = len(loaded.Jobs)
 					loaded.Jobs = append(loaded.Jobs, *change.Job)
-				} else if change.Job.AcceptedAt.Before(loaded.Jobs[at].AcceptedAt) {
+					continue
+				}
+				if !change.Job.AcceptedAt.Equal(loaded.Jobs[at].AcceptedAt) {
+					loaded.Resubmitted = append(loaded.Resubmitted, change.Job.ID)
+				}
+				if change.Job.AcceptedAt.Before(loaded.Jobs[at].AcceptedAt) {
 					loaded.Jobs[at] = *change.Job
 				}
 			default:
--- a/jobstore/jobstore_test.go
+++ b/jobstore/jobstore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -109,6 +110,35 @@
 	})
 
 	// A job whose other home does not answer may lie there: it is not gone.
+	// The leader has to know that a predecessor may have been told of the other row.
+	It("names jobs that two submissions have stored", func() {
+		cases := []struct {
+			name  string
+			later time.Duration // at which the second row was accepted
+			twice bool
+		}{
+			{"one submission, written twice", 0, false},
+			{"two submissions", time.Second, true},
+		}
+		for n, c := range cases {
+			stored := sample
+			stored.ID = job.ID(fmt.Sprintf("%016x", n))
+			var want []job.ID
+			if c.twice {
+				want = []job.ID{stored.ID}
+			}
+			for _, home := range jobs.Homes(stored.ID) {
+				encoded, err := jobstore.EncodeJob(stored)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(jobs.Accept(ctx, home, stored.ID, encoded)).To(BeTrue(), c.name)
+				stored.AcceptedAt = stored.AcceptedAt.Add(c.later)
+			}
+			loaded, _, err := jobs.Load(ctx, 0)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(loaded.Resubmitted).To(Equal(want), c.name)
+		}
+	})
+
 	It("knows that a job does not exist only if both homes answer", func() {
 		homes := jobs.Homes(sample.ID)
 		server.SetSilent(homes[1])
