dispatch: fillers are slowed for the services beside them

Cause: fillers ran at full pace beside services with a target, against HARM, and the target was not even stored. Runs of services have no estimate and counted as about to end, so that a gang kept their workers for itself.

Ruled out: placing alone (disturbance changes within seconds); one fixed pace (it differs by image); stopping fillers (their work would be thrown away).

A new leader sets the pace of adopted fillers anew. Fillers go where most processors are unused and away from services.

After: under 4 s in every case, no fillers where the service is over its target by itself. Each test fails with its guard removed.

--- a/dispatch/cell_test.go
+++ b/dispatch/cell_test.go
@@ -37,11 +37,12 @@
 	handed      map[job.ID]time.Time
 	progress    map[job.ID]dispatch.Progress
 	enrolled    map[job.WorkerID]job.Worker
-	unloaded    map[job.ID]bool // stored too late for the next leader's load
-	resubmitted []job.ID        // with a row in each home
-	version     int64           // of the store
-	confirmed   int64           // version of the last write of a leader
-	loading     func()          // called before a new leader has loaded the jobs
+	unloaded    map[job.ID]bool           // stored too late for the next leader's load
+	resubmitted []job.ID                  // with a row in each home
+	tail        func(*fakeWorker) float64 // of the services on a worker, in milliseconds
+	version     int64                     // of the store
+	confirmed   int64                     // version of the last write of a leader
+	loading     func()                    // called before a new leader has loaded the jobs
 	cancels     []job.ID
 	shown       map[job.ID]time.Time // when a job was first shown as completed
 
@@ -100,6 +101,7 @@
 	finished bool // its work; a gang ends together
 	saved    float64
 	saves    bool
+	slowed   int // percent of the time that it does not work
 }
 
 // percent is how far a run is. Workers report whole percents.
@@ -168,8 +170,11 @@
 		outcome:   func(job.TaskID, int64) job.EndKind { return job.EndDone },
 	}
 	c.length = func(id job.TaskID) time.Duration {
-		ms := c.jobs[id.Job].Definition.Steps[id.Step].EstimateMilliseconds
-		return time.Duration(ms * float64(time.Millisecond))
+		step := c.jobs[id.Job].Definition.Steps[id.Step]
+		if step.LongRunning {
+			return time.Hour
+		}
+		return time.Duration(step.EstimateMilliseconds * float64(time.Millisecond))
 	}
 	for n := range workers {
 		id := job.WorkerID(fmt.Sprintf("w%02d", n))
@@ -348,6 +353,15 @@
 			c.carryOutStop(s, c.options.Token, live)
 		})
 	}
+	for _, p := range effects.Paces {
+		c.after(orderDelay, func() {
+			w := c.workers[p.Worker.ID]
+			if run := w.running[p.Task]; run != nil && run.order.Run == p.Run {
+				run.slowed = 100 - p.Percent
+			}
+			live(dispatch.PaceAnswered{Worker: p.Worker.ID, Task: p.Task, Run: p.Run, Percent: p.Percent})
+		})
+	}
 	for _, r := range effects.Reads {
 		c.carryOutRead(r, c.options.Token, live)
 	}
@@ -676,9 +690,13 @@
 	answer := func() {
 		reading := job.Reading{Clock: w.clock(c), Born: w.born, Ended: slices.Clone(w.ended)}
 		for _, run := range w.running {
-			reading.Running = append(reading.Running, job.Running{
+			running := job.Running{
 				Task: run.order.Task, Run: run.order.Run, Percent: run.percent(c.now), Checkpoint: run.checkpoint(c.now),
-			})
+			}
+			if c.tail != nil && c.jobs[run.order.Task.Job].Definition.Steps[run.order.Task.Step].LongRunning {
+				running.Level = c.tail(w)
+			}
+			reading.Running = append(reading.Running, running)
 		}
 		delay := orderDelay
 		if w.readTerm < term {
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -67,6 +67,15 @@
 		Rejection job.Rejection
 		Err       error
 	}
+	// PaceAnswered answers a PaceRun.
+	PaceAnswered struct {
+		Worker    job.WorkerID
+		Task      job.TaskID
+		Run       int64
+		Percent   int
+		Rejection job.Rejection
+		Err       error
+	}
 	// AdviceAnswered answers an AskAdvice.
 	AdviceAnswered struct {
 		Number  int64
@@ -96,6 +105,7 @@
 type Effects struct {
 	Starts []StartRun
 	Stops  []StopRun
+	Paces  []PaceRun
 	Reads  []ReadWorker
 	Asks   []AskAdvice
 	Save   *Save
@@ -125,6 +135,14 @@
 	Run    int64
 }
 
+// PaceRun sets the share of time that a run works.
+type PaceRun struct {
+	Worker  job.Worker
+	Task    job.TaskID
+	Run     int64
+	Percent int
+}
+
 // ReadWorker reads a worker's runs. Deadline is a reading of the worker's clock,
 // or zero to extend no lease.
 type ReadWorker struct {
@@ -184,6 +202,7 @@
 	NoteWorkerJudged
 	NoteAdviceFailed
 	NoteRunMoved
+	NoteRunPaced
 	NoteStepWaits
 	NoteSettled
 	// NoteKinds is the number of kinds.
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -173,6 +173,10 @@
 	unknownAt time.Time // when its order was given up without an answer; zero otherwise
 	progress  progress
 	resumed   bool // from a checkpoint
+
+	tailMilliseconds float64   // of a service's own users, by the last reading
+	percentOfTime    int       // that a filler works, or paceUnknown
+	pacedAt          time.Time // the last order to change it
 }
 
 // progress returns the durable part of a job's state.
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -341,13 +341,19 @@
 	remotePenalty  = 2
 	ticketPenalty  = 1
 	silencePenalty = 1
+	servicePenalty = 1
 )
 
-// score rates a place: the tightest fit is best, near the data first.
+// score rates a place: the tightest fit is best, near the data first. Fillers take
+// the places with the most unused processors instead.
 func (p *pass) score(s *stepState, l *place) {
 	w := l.worker
 	left := l.free.Sub(s.step.Room())
-	l.score = float64(left.MilliCPU)/float64(max(1, w.worker.Capacity.MilliCPU)) +
+	unused := float64(left.MilliCPU) / float64(max(1, w.worker.Capacity.MilliCPU))
+	if s.step.Fills {
+		unused = -unused // a filler works with what the others leave
+	}
+	l.score = unused +
 		memoryWeight*float64(left.MemoryBytes)/float64(max(1, w.worker.Capacity.MemoryBytes)) +
 		paceWeight*w.pace.log
 	if s.step.DataRack != "" && s.step.DataRack != w.worker.Rack {
@@ -359,4 +365,7 @@
 	if w.unreliable {
 		l.score += silencePenalty
 	}
+	if s.step.Fills && w.worstTail() > 0 {
+		l.score += servicePenalty
+	}
 }
--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -210,6 +210,8 @@
 		r.startAnswered(e)
 	case StopAnswered:
 		r.stopAnswered(e)
+	case PaceAnswered:
+		r.paceAnswered(e)
 	case AdviceAnswered:
 		r.adviceAnswered(e)
 	case Saved:
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -70,7 +70,9 @@
 	}
 	ends := make([]end, 0, len(w.runs))
 	for _, r := range w.runs {
-		ends = append(ends, end{p.expectedEnd(r), r})
+		if !r.step.step.LongRunning {
+			ends = append(ends, end{p.expectedEnd(r), r})
+		}
 	}
 	slices.SortFunc(ends, func(a, b end) int {
 		if n := a.at.Compare(b.at); n != 0 {
--- a/dispatch/start.go
+++ b/dispatch/start.go
@@ -12,6 +12,7 @@
 	task := &s.tasks[index]
 	started := &run{
 		task: job.TaskID{StepID: s.id, Index: index}, number: number, step: s, worker: w, orderedAt: r.now,
+		percentOfTime: wholePercent,
 	}
 	task.run = started
 	w.runs[runKey{started.task, number}] = started
@@ -75,6 +76,7 @@
 		if started.present.IsZero() {
 			started.present = r.now
 		}
+		r.pace(started)
 	}
 }
 
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -23,6 +23,7 @@
 	leaseEnd  time.Time // until when its runs may go on, by the leader's clock
 	health    health
 	pace      pace
+	filling   filling
 	strays    map[runKey]stray
 
 	processed int64     // ends up to this number are in the jobs' state
@@ -144,7 +145,7 @@
 			continue
 		}
 		read := ReadWorker{Worker: w.worker, Seen: w.seen, LongPoll: !urgent && !unsaved && w.known && !w.failing}
-		if read.LongPoll && (w.unreliable || r.overdue(w)) {
+		if read.LongPoll && (w.unreliable || r.overdue(w) || w.shared()) {
 			read.Watch = true
 		}
 		w.urgent = false
@@ -173,7 +174,7 @@
 func (r *Reducer) overdue(w *worker) bool {
 	late := 0
 	for _, run := range w.runs {
-		if r.now.Sub(run.orderedAt) > time.Duration(overdueFactor*float64(run.step.expected())) {
+		if !run.step.step.LongRunning && r.now.Sub(run.orderedAt) > time.Duration(overdueFactor*float64(run.step.expected())) {
 			late++
 		}
 	}
@@ -256,6 +257,7 @@
 		r.ended(w, end)
 	}
 	r.running(w, e)
+	r.holdFillers(w)
 	w.known = true
 	if w.processed > w.seen && len(r.dirty) == 0 && r.saveMarks == nil {
 		// None of the ends changed what is durable.
@@ -282,7 +284,7 @@
 		r.note(Note{Kind: NoteWorkerReborn, Worker: e.ID})
 	}
 	w.born, w.processed, w.seen = e.Reading.Born, 0, 0
-	w.health, w.pace, w.strays = health{}, pace{}, nil
+	w.health, w.pace, w.filling, w.strays = health{}, pace{}, filling{}, nil
 	listed := map[runKey]bool{}
 	for _, running := range e.Reading.Running {
 		listed[runKey{running.Task, running.Run}] = true
@@ -319,6 +321,7 @@
 		if known.present.IsZero() {
 			known.present = r.now
 		}
+		known.tailMilliseconds = running.Level
 		r.observeProgress(known, running.Percent)
 		if running.Checkpoint != "" {
 			known.step.keepCheckpoint(running.Task.Index, running.Checkpoint, running.Percent)
@@ -401,6 +404,7 @@
 	adopted := &run{
 		task: running.Task, number: running.Run, step: s, worker: w,
 		orderedAt: r.now, present: r.now, resumed: true, // its beginning is not known
+		tailMilliseconds: running.Level, percentOfTime: paceUnknown,
 	}
 	w.runs[runKey{running.Task, running.Run}] = adopted
 	w.used = w.used.Add(s.step.Room())
--- a/instance/effects.go
+++ b/instance/effects.go
@@ -45,6 +45,9 @@
 	for _, s := range e.Starts {
 		go l.start(s)
 	}
+	for _, p := range e.Paces {
+		go l.pace(p)
+	}
 	for _, r := range e.Reads {
 		go l.read(r)
 	}
@@ -87,6 +90,13 @@
 	l.post(dispatch.StopAnswered{Worker: s.Worker.ID, Task: s.Task, Run: s.Run, Rejection: rejection, Err: err})
 }
 
+func (l *leadership) pace(p dispatch.PaceRun) {
+	ctx, cancel := context.WithTimeout(l.ctx, orderTimeout)
+	defer cancel()
+	rejection, err := l.i.runner.Pace(ctx, p.Worker.Address, p.Worker.ID, p.Task, p.Run, l.token, p.Percent)
+	l.post(dispatch.PaceAnswered{Worker: p.Worker.ID, Task: p.Task, Run: p.Run, Percent: p.Percent, Rejection: rejection, Err: err})
+}
+
 func (l *leadership) read(r dispatch.ReadWorker) {
 	order := runner.ReadOrder{Token: l.token, Seen: r.Seen, Deadline: r.Deadline}
 	switch {
@@ -169,6 +179,7 @@
 	dispatch.NoteWorkerJudged: logevent.WorkerJudged,
 	dispatch.NoteAdviceFailed: logevent.AdviceFailed,
 	dispatch.NoteRunMoved:     logevent.RunMoved,
+	dispatch.NoteRunPaced:     logevent.RunPaced,
 	dispatch.NoteStepWaits:    logevent.StepWaits,
 	dispatch.NoteSettled:      logevent.RunsSettled,
 }
--- a/job/job.go
+++ b/job/job.go
@@ -120,6 +120,9 @@
 			{s.DataRack != "", "data=" + s.DataRack},
 			{s.MaxPerWorker > 0, "spread=" + strconv.Itoa(s.MaxPerWorker)},
 		}
+		if s.TargetMilliseconds > 0 {
+			fmt.Fprintf(&b, " target=%.0fms", s.TargetMilliseconds)
+		}
 		for _, p := range properties {
 			if p.set {
 				b.WriteString(" " + p.name)
@@ -144,6 +147,9 @@
 	Speculative          bool
 	LongRunning          bool // runs until cancelled, restarted however it ends
 	Fills                bool // uses processors that other tasks leave unused
+	// TargetMilliseconds bounds the tail of the response times of a long-running
+	// task's own users; zero without a bound.
+	TargetMilliseconds float64
 }
 
 // Room is what a task of the step takes from a worker's capacity.
--- a/jobstore/codec.go
+++ b/jobstore/codec.go
@@ -35,6 +35,7 @@
 	RequiredLabel string  `cbor:"8,keyasint,omitempty"`
 	DataRack      string  `cbor:"9,keyasint,omitempty"`
 	MaxPerWorker  int     `cbor:"10,keyasint,omitempty"`
+	Target        float64 `cbor:"11,keyasint,omitempty"`
 }
 
 // Bits of wireStep.Flags.
@@ -77,7 +78,7 @@
 		ws := wireStep{
 			Tasks: s.Tasks, MilliCPU: s.Demand.MilliCPU, MemoryBytes: s.Demand.MemoryBytes,
 			Accelerators: s.Demand.Accelerators, Estimate: s.EstimateMilliseconds, After: s.After,
-			RequiredLabel: s.RequiredLabel, DataRack: s.DataRack, MaxPerWorker: s.MaxPerWorker,
+			RequiredLabel: s.RequiredLabel, DataRack: s.DataRack, MaxPerWorker: s.MaxPerWorker, Target: s.TargetMilliseconds,
 		}
 		for _, f := range flags(s) {
 			if *f.value {
@@ -108,7 +109,7 @@
 			Demand: model.Resources{
 				MilliCPU: ws.MilliCPU, MemoryBytes: ws.MemoryBytes, Accelerators: ws.Accelerators,
 			},
-			RequiredLabel: ws.RequiredLabel, DataRack: ws.DataRack, MaxPerWorker: ws.MaxPerWorker,
+			RequiredLabel: ws.RequiredLabel, DataRack: ws.DataRack, MaxPerWorker: ws.MaxPerWorker, TargetMilliseconds: ws.Target,
 		}
 		for _, f := range flags(&s) {
 			*f.value = ws.Flags&f.bit != 0
--- a/jobstore/jobstore_test.go
+++ b/jobstore/jobstore_test.go
@@ -34,7 +34,7 @@
 			Spec: "spec", Occurrences: 3, FirstDueMilliseconds: 5, IntervalMilliseconds: 7,
 			Steps: []job.Step{
 				{Tasks: 2, Demand: model.Resources{MilliCPU: 500, MemoryBytes: 1 << 20, Accelerators: 1}, EstimateMilliseconds: 9.5, Gang: true, SameRack: true},
-				{Tasks: 1, After: []int{0}, Checkpoints: true, RequiredLabel: "a", DataRack: "r1-1", MaxPerWorker: 2, Speculative: true, LongRunning: true, Fills: true},
+				{Tasks: 1, After: []int{0}, Checkpoints: true, RequiredLabel: "a", DataRack: "r1-1", MaxPerWorker: 2, Speculative: true, LongRunning: true, Fills: true, TargetMilliseconds: 40},
 			},
 		},
 	}
--- a/logevent/list.go
+++ b/logevent/list.go
@@ -116,6 +116,7 @@
 	RunLapsed            = Event{854, zapcore.WarnLevel, "run given up", "A run cannot exist any more although its worker has not listed its end."}
 	RunMoved             = Event{855, zapcore.InfoLevel, "run moved", "A run makes so little progress on a slow worker that it is stopped and started elsewhere; age is the time that it would still take there."}
 	StepWaits            = Event{856, zapcore.InfoLevel, "step waits", "Tasks of a step have waited for two seconds or a multiple; detail tells what they lack."}
+	RunPaced             = Event{857, zapcore.InfoLevel, "run paced", "The share of time that a filler works is changed, since the services beside it need more or less; detail tells both."}
 	WorkerReborn         = Event{860, zapcore.WarnLevel, "worker restarted", "A worker answers with a new time of birth; its earlier runs are gone."}
 	WorkerUnreachable    = Event{861, zapcore.WarnLevel, "worker lost", "A worker cannot be read or its registration is gone; it gets no new tasks."}
 	WorkerReached        = Event{862, zapcore.InfoLevel, "worker found", "A worker is registered or can be read again."}
@@ -140,5 +141,5 @@
 	BodyNotStored, AnswerDamaged,
 	OperatorRefused, EditCommitted, EditRejected, EditUncertain, CredentialsStale, CredentialsRead,
 	RequestUnknown,
-	InstanceStarted, InstanceStopped, SettingsReloaded, SettingsInvalid, StoreLost, StoreReached, ConfigurationInForce, ConfigurationInvalid, LeadershipClaimed, LeadershipLost, LeadershipEnded, ClaimFailed, ResignFailed, LeaderFound, LeaderLost, LeaderDelayed, MemberFound, MemberLost, MemberUnreadable, LeadershipYielded, RankUnknown, LeadershipReleased, RunsSettled, JobsLoaded, JobUnreadable, JobAccepted, JobFinished, JobCancelled, JobNotRemoved, RunStarted, RunRejected, RunUnknown, RunEnded, RunLapsed, RunMoved, StepWaits, WorkerReborn, WorkerUnreachable, WorkerReached, WorkerJudged, WorkerUnreadable, AdviceFailed, RequestAnswered, RequestNotServed,
+	InstanceStarted, InstanceStopped, SettingsReloaded, SettingsInvalid, StoreLost, StoreReached, ConfigurationInForce, ConfigurationInvalid, LeadershipClaimed, LeadershipLost, LeadershipEnded, ClaimFailed, ResignFailed, LeaderFound, LeaderLost, LeaderDelayed, MemberFound, MemberLost, MemberUnreadable, LeadershipYielded, RankUnknown, LeadershipReleased, RunsSettled, JobsLoaded, JobUnreadable, JobAccepted, JobFinished, JobCancelled, JobNotRemoved, RunStarted, RunRejected, RunUnknown, RunEnded, RunLapsed, RunMoved, StepWaits, RunPaced, WorkerReborn, WorkerUnreachable, WorkerReached, WorkerJudged, WorkerUnreadable, AdviceFailed, RequestAnswered, RequestNotServed,
 }
