jobstore: a save without an answer is sent again at once

Cause: while the store loses a third of its answers, checks were late by the hundred. A save without an answer was given up after 0.35 s or more, the row was read 0.15 s later, and only then the save was made again or the next one begun. No job is shown as completed meanwhile. Three lost answers in a row also left the leadership unconfirmed for long enough to be claimed.

Ruled out: acceptance (jobs have a second home after 90 ms; half started in time), a longer suspicion (it delays every real change of leader).

Change: copies of a save are sent while it has no answer, four in a hurry and then one each 0.35 s. All expect the same version, so that one of them counts at most, and none that the store carries out late. A conflict whose row is this save's own tells that an earlier copy was stored; any other deposes. The reading in between is gone.

--- a/jobstore/jobstore.go
+++ b/jobstore/jobstore.go
@@ -52,6 +52,32 @@
 // leadership.
 var ErrDeposed = errors.New("another instance has claimed the leadership")
 
+// replacedError is the error of a save that found another version of the leader's
+// row. It carries that row and matches ErrDeposed.
+type replacedError struct {
+	leader  Leader // zero if the row cannot be read
+	version int64
+}
+
+func (*replacedError) Error() string { return ErrDeposed.Error() }
+
+// Is makes errors.Is(err, ErrDeposed) hold.
+func (*replacedError) Is(target error) bool { return target == ErrDeposed }
+
+// replaced returns the leader's row among those of a conflict.
+func replaced(c *store.Conflict) error {
+	e := &replacedError{}
+	for _, row := range c.Rows {
+		if row.Table != leaderTable || row.Key != leaderKey {
+			continue
+		}
+		if l, _, err := decodeLeader(row.Value); err == nil {
+			e.leader, e.version = l, row.Version
+		}
+	}
+	return e
+}
+
 // Store reads and writes jobs. Its methods are safe for concurrent use.
 type Store struct {
 	client *store.Client
@@ -376,8 +402,9 @@
 		}
 	}
 	written, err := s.client.Commit(ctx, t)
-	if errors.Is(err, store.ErrConflict) {
-		return 0, ErrDeposed
+	var conflict *store.Conflict
+	if errors.As(err, &conflict) {
+		return 0, replaced(conflict)
 	}
 	return written, err
 }
--- a/jobstore/jobstore_test.go
+++ b/jobstore/jobstore_test.go
@@ -236,6 +236,20 @@
 		Expect(jobs.Lookup(ctx, "5c0e7a21d94b36f8")).To(Equal(job.StateCompleted))
 	})
 
+	// With a third of the answers lost, each such save held the next ones up for half a
+	// second, and no job was shown as completed meanwhile.
+	It("makes saves of which every second answer is lost in a quarter of a second each", func() {
+		server, _, saver, reports := begin()
+		server.HoldAnswers(2)
+		const saves = 24
+		began := time.Now()
+		for n := range int64(saves) {
+			saver.Save(&dispatch.Save{Number: n + 1, Progress: save.Progress})
+			Eventually(reports, "5s").Should(Receive(Satisfy(saved(n + 1))))
+		}
+		Expect(time.Since(began)).To(BeNumerically("<", saves*time.Second/4))
+	})
+
 	// A release that only stopped the saves left the row to stand still when the
 	// store was slow, and nobody led for 4.6 s.
 	It("releases the row with the save that waits, also if an answer is lost", func() {
--- a/jobstore/saver.go
+++ b/jobstore/saver.go
@@ -13,12 +13,16 @@
 	// beatInterval is how often an idle leader confirms its leadership: several
 	// times within the span after which others suspect it.
 	beatInterval = 150 * time.Millisecond
-	saveTimeout  = 1500 * time.Millisecond // of one attempt, at most; a slow store answers within about 0.5 s
-	saveRetry    = 150 * time.Millisecond
+	saveTimeout  = 1500 * time.Millisecond // of one copy of a write; a slow store answers within about 0.5 s
+	saveRetry    = 150 * time.Millisecond  // after a refusal
+	// hastyCopies of a write are sent in a hurry: where a third of the answers is
+	// lost, one write in a hundred needs more, and the others suspect a leader that
+	// is not confirmed for half a second.
+	hastyCopies = 4
 )
 
 // Saver writes the leader's saves one after another and confirms the leadership
-// in between. A save whose outcome is unknown is resolved by reading the row.
+// in between. A save without an answer is sent again.
 type Saver struct {
 	store    *Store
 	leader   Leader
@@ -106,60 +110,74 @@
 	return v.version
 }
 
-// write repeats one write until it is stored. It returns false if the leadership
-// is lost or the saver stops.
+// copied is the answer to one copy of a write.
+type copied struct {
+	sentAt  time.Time
+	version int64
+	err     error
+}
+
+// write makes one write until it is stored. While it has no answer, copies are
+// sent: all expect the same version, so that one of them counts at most, and none
+// that is carried out late. It returns false if the leadership is lost or the
+// saver stops.
 func (v *Saver) write(ctx context.Context, save *dispatch.Save, report func(Report)) bool {
-	for patience := v.store.client.Patience(); ; patience *= 2 {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	next := v.leader
+	next.Sequence++
+	expected := v.version
+	answers := make(chan copied)
+	began := time.Now()
+	send := func() {
 		sentAt := time.Now()
-		next := v.leader
-		next.Sequence++
-		attempt, cancel := context.WithTimeout(ctx, min(saveTimeout, patience))
-		version, err := v.store.WriteLeader(attempt, v.version, next, save)
-		cancel()
-		if err == nil {
-			v.version, v.leader, v.released = version, next, next.Released
-			report(Report{Saved: save.Number, Confirmed: sentAt, Version: v.version})
-			return true
-		}
-		if ctx.Err() != nil {
-			return false
-		}
-		report(Report{Err: err})
-		if stored, known := v.resolve(ctx, report); !known {
-			return false
-		} else if stored {
-			report(Report{Saved: save.Number, Confirmed: sentAt, Version: v.version})
-			return true
-		}
+		attempt, done := context.WithTimeout(ctx, saveTimeout)
+		go func() {
+			defer done()
+			version, err := v.store.WriteLeader(attempt, expected, next, save)
+			select {
+			case answers <- copied{sentAt, version, err}:
+			case <-ctx.Done():
+			}
+		}()
 	}
-}
-
-// resolve reads the leader's row until it answers, and tells whether the last
-// attempt was stored.
-func (v *Saver) resolve(ctx context.Context, report func(Report)) (stored, known bool) {
+	stored := func(version int64, at time.Time) bool {
+		v.version, v.leader, v.released = version, next, next.Released
+		report(Report{Saved: save.Number, Confirmed: at, Version: version})
+		return true
+	}
+	send()
+	copies := 0
+	again := time.NewTimer(v.store.client.Haste())
+	defer again.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			return false, false
-		case <-time.After(saveRetry):
-		}
-		attempt, cancel := context.WithTimeout(ctx, saveTimeout)
-		l, version, err := v.store.ReadLeader(attempt)
-		cancel()
-		switch {
-		case err != nil:
-			if ctx.Err() == nil {
-				report(Report{Err: errors.Wrap(err, "resolve a save")})
+			return false
+		case <-again.C:
+			send()
+			if copies++; copies < hastyCopies {
+				again.Reset(v.store.client.Haste())
+			} else {
+				again.Reset(v.store.client.Patience())
+			}
+		case a := <-answers:
+			var replaced *replacedError
+			switch {
+			case a.err == nil:
+				return stored(a.version, a.sentAt)
+			case errors.As(a.err, &replaced):
+				if l := replaced.leader; l.Token == next.Token && l.Life == next.Life && l.Sequence == next.Sequence {
+					// An earlier copy was stored, at some time since the first.
+					return stored(replaced.version, began)
+				}
+				report(Report{Deposed: true})
+				return false
+			case ctx.Err() != nil:
+				return false
 			}
-			continue
-		case l.Token != v.leader.Token || l.Life != v.leader.Life:
-			report(Report{Deposed: true})
-			return false, false
-		case version == v.version:
-			// Only a write confirms the leadership: a claim may follow this reading.
-			return false, true
+			report(Report{Err: a.err})
+			again.Reset(saveRetry)
 		}
-		v.version, v.leader, v.released = version, l, l.Released
-		return true, true
 	}
 }
