instance: a leader whose processor has become slow yields to a sound instance

The leader still confirmed its leadership, so that nobody claimed it, and the order of claims knew the configured share of a processor only.

Ruled out: the lateness of timers as evidence (an idle follower on a slow processor shows none), the event queue (it tells of the leader only).

Change: each instance times a fixed piece of work ten times a second. One whose median is 2.5 times its best counts with so much less of a processor: it tells the leader, claims later, and as the leader yields after 0.4 s to an instance with more. The existing rules for larger instances do the rest.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -72,7 +72,9 @@
 	heardAt   time.Time      // of the leader
 	released  *release       // what the leader has told of its release; nil unless it has
 	rank      int64          // number of instances with more processor time
-	resigned  bool           // this process has already left the leadership to a larger instance
+	slowdown  float64        // of the processor, by its measurements; zero before the first
+	slowedAt  time.Time      // when that last changed
+	resigned  bool           // this process has already left the leadership to an instance with more processor time
 	untold    []link.Message // jobs stored while no leader was known
 	questions map[int64]chan link.Message
 	number    int64
@@ -142,6 +144,7 @@
 	i.running.Go(i.register)
 	i.running.Go(i.probe)
 	i.running.Go(i.elect)
+	i.running.Go(i.watchSpeed)
 	logevent.InstanceStarted.Log(log, zap.Stringer("caller_address", s.CallerAddress), zap.Int64("life", i.life))
 	return i, nil
 }
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -117,9 +117,9 @@
 			}
 			ticked = time.Now()
 			l.carryOut(reducer.Apply(ticked, dispatch.Tick{}))
-			if ticked.Sub(began) > settleSpan && !i.resigned && l.outgrown() {
-				i.resigned = true
-				logevent.LeadershipYielded.Log(i.log, zap.Int64("token", l.token), zap.Float64("processor_share", i.settings.ProcessorShare))
+			if i.mayYield(ticked, began) && l.outgrown() {
+				i.yields()
+				logevent.LeadershipYielded.Log(i.log, zap.Int64("token", l.token), zap.Float64("processor_share", i.share()))
 				go l.resign()
 			}
 		}
@@ -263,9 +263,10 @@
 
 // outgrown reports whether a linked instance has much more processor time.
 func (l *leadership) outgrown() bool {
+	share := l.i.share()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.rank(l.i.settings.ProcessorShare*largerFactor) > 0
+	return l.rank(share*largerFactor) > 0
 }
 
 func (l *leadership) configured(c *job.Configuration) { l.post(dispatch.Configured{Configuration: c}) }
@@ -474,6 +475,12 @@
 			c.Send(link.Message{Kind: link.KindConfirmed, Token: l.token, Count: rank})
 			logevent.MemberFound.Log(l.i.log, zap.String("member", name))
 		}
+	case link.KindShare:
+		l.mu.Lock()
+		if known := l.members[name]; known != nil {
+			known.share = m.Share
+		}
+		l.mu.Unlock()
 	case link.KindStatus, link.KindPending:
 		l.question(m, c.Send)
 	case link.KindAdvice:
--- a/instance/member.go
+++ b/instance/member.go
@@ -57,22 +57,19 @@
 	}
 	e := election.New(i.settings.ProcessorShare, jitter(claimJitter))
 	i.readRank()
-	i.mu.Lock()
-	e.Ranked(i.rank)
-	i.mu.Unlock()
 	heard := time.Time{}
 	var lastRelease *release
 	for sleep(i.ctx, electionTick) {
 		if i.stopping.Load() {
 			continue
 		}
+		e.Ranked(i.claimRank())
 		now := time.Now()
 		i.mu.Lock()
 		switch {
 		case i.heardAt.After(heard):
 			heard = i.heardAt
 			e.LeaderHeard(heard)
-			e.Ranked(i.rank)
 		case i.heardAt.IsZero() && !heard.IsZero():
 			heard = time.Time{}
 			e.LeaderGone()
@@ -101,9 +98,6 @@
 		case election.Claim:
 			i.claim(e, lastRelease)
 			e = election.New(i.settings.ProcessorShare, jitter(claimJitter))
-			i.mu.Lock()
-			e.Ranked(i.rank)
-			i.mu.Unlock()
 			heard = time.Now()
 			e.LeaderHeard(heard)
 		}
@@ -209,6 +203,7 @@
 		}
 		logevent.LeaderFound.Log(i.log, zap.String("leader", m.Name), zap.Int64("token", m.Token))
 		c.Send(link.Message{Kind: link.KindWelcome, Name: i.settings.Name})
+		i.tellShare()
 		i.tellKept()
 	case link.KindConfirmed:
 		i.mu.Lock()
--- a/link/link.go
+++ b/link/link.go
@@ -60,6 +60,7 @@
 	KindConfirmed                 // leader: the store has confirmed the leadership
 	KindOffered                   // instance: a job that it is storing
 	KindReleased                  // leader: it has given the leadership up; Known names the successor
+	KindShare                     // instance: the processor time that it has now
 )
 
 // Message is a message between the leader and an instance.
@@ -79,6 +80,7 @@
 	Tickets []job.Ticket
 	Error   string
 	Outcome job.Outcome // of a KindStored
+	Share   float64     // of a processor
 	Version int64       // of the row of a stored job, or of the released leadership
 }
 
@@ -100,13 +102,14 @@
 	Error      string      `cbor:"16,keyasint,omitempty"`
 	Outcome    string      `cbor:"17,keyasint,omitempty"`
 	Version    int64       `cbor:"18,keyasint,omitempty"`
+	Share      float64     `cbor:"19,keyasint,omitempty"`
 }
 
 func toWire(m *Message) wireMessage {
 	w := wireMessage{
 		Kind: int(m.Kind), Number: m.Number, Name: m.Name, Token: m.Token,
 		Job: string(m.Job), Queue: m.Queue, State: string(m.State), Known: m.Known, Count: m.Count,
-		Data: m.Data, Occurrence: m.Step.Occurrence, Step: m.Step.Step, Error: m.Error, Outcome: string(m.Outcome), Version: m.Version,
+		Data: m.Data, Occurrence: m.Step.Occurrence, Step: m.Step.Step, Error: m.Error, Outcome: string(m.Outcome), Version: m.Version, Share: m.Share,
 	}
 	if m.Step.Job != "" {
 		w.Job = string(m.Step.Job)
@@ -125,7 +128,7 @@
 		Kind: Kind(w.Kind), Number: w.Number, Name: w.Name, Token: w.Token,
 		Job: job.ID(w.Job), Queue: w.Queue, State: job.State(w.State), Known: w.Known, Count: w.Count,
 		Data: w.Data, Step: job.StepID{Job: job.ID(w.Job), Occurrence: w.Occurrence, Step: w.Step},
-		Error: w.Error, Outcome: job.Outcome(w.Outcome), Version: w.Version,
+		Error: w.Error, Outcome: job.Outcome(w.Outcome), Version: w.Version, Share: w.Share,
 	}
 	for _, id := range w.Workers {
 		m.Workers = append(m.Workers, job.WorkerID(id))
--- a/logevent/list.go
+++ b/logevent/list.go
@@ -103,6 +103,7 @@
 	RankUnknown          = Event{832, zapcore.WarnLevel, "rank unknown", "The registered instances cannot be read; this one claims the leadership like the largest."}
 	LeadershipReleased   = Event{833, zapcore.InfoLevel, "leadership released", "The leader has given the leadership up; the successor claims it at once."}
 	RunsSettled          = Event{834, zapcore.InfoLevel, "predecessor's runs settled", "No run of the predecessor can be unknown any more; the tasks of its jobs start again. Age is the time since the registrations were read."}
+	SpeedChanged         = Event{835, zapcore.WarnLevel, "processor speed changed", "A fixed piece of work takes several times as long as at best, or no longer does. An instance with a slow processor claims the leadership later, and yields it to one with more processor time."}
 	JobsLoaded           = Event{840, zapcore.InfoLevel, "jobs loaded", "The leader has read all jobs and their progress from the store."}
 	JobUnreadable        = Event{841, zapcore.ErrorLevel, "job unreadable", "A stored job cannot be decoded and is left out."}
 	JobAccepted          = Event{842, zapcore.InfoLevel, "job known to the leader", "The leader has heard of a stored job; age is the time since it was accepted."}
@@ -141,5 +142,5 @@
 	BodyNotStored, AnswerDamaged,
 	OperatorRefused, EditCommitted, EditRejected, EditUncertain, CredentialsStale, CredentialsRead,
 	RequestUnknown,
-	InstanceStarted, InstanceStopped, SettingsReloaded, SettingsInvalid, StoreLost, StoreReached, ConfigurationInForce, ConfigurationInvalid, LeadershipClaimed, LeadershipLost, LeadershipEnded, ClaimFailed, ResignFailed, LeaderFound, LeaderLost, LeaderDelayed, MemberFound, MemberLost, MemberUnreadable, LeadershipYielded, RankUnknown, LeadershipReleased, RunsSettled, JobsLoaded, JobUnreadable, JobAccepted, JobFinished, JobCancelled, JobNotRemoved, RunStarted, RunRejected, RunUnknown, RunEnded, RunLapsed, RunMoved, StepWaits, RunPaced, WorkerReborn, WorkerUnreachable, WorkerReached, WorkerJudged, WorkerUnreadable, AdviceFailed, RequestAnswered, RequestNotServed,
+	InstanceStarted, InstanceStopped, SettingsReloaded, SettingsInvalid, StoreLost, StoreReached, ConfigurationInForce, ConfigurationInvalid, LeadershipClaimed, LeadershipLost, LeadershipEnded, ClaimFailed, ResignFailed, LeaderFound, LeaderLost, LeaderDelayed, MemberFound, MemberLost, MemberUnreadable, LeadershipYielded, RankUnknown, LeadershipReleased, RunsSettled, SpeedChanged, JobsLoaded, JobUnreadable, JobAccepted, JobFinished, JobCancelled, JobNotRemoved, RunStarted, RunRejected, RunUnknown, RunEnded, RunLapsed, RunMoved, StepWaits, RunPaced, WorkerReborn, WorkerUnreachable, WorkerReached, WorkerJudged, WorkerUnreadable, AdviceFailed, RequestAnswered, RequestNotServed,
 }
