jobstore: the leader's row is read before a copy of a save is sent

A slow store carries out the writes of a partition one after another, half a second each, so that four copies held the next save up.

Change: an overdue save first has the row read, which also a slow store does beside the writes, and which teaches the client how slow the store is. A copy is sent only if the row shows that the save was not carried out and the save is overdue by the usual time of an answer as known then. A row with the save's own number counts as its answer.

--- a/jobstore/saver.go
+++ b/jobstore/saver.go
@@ -15,14 +15,10 @@
 	beatInterval = 150 * time.Millisecond
 	saveTimeout  = 1500 * time.Millisecond // of one copy of a write; a slow store answers within about 0.5 s
 	saveRetry    = 150 * time.Millisecond  // after a refusal
-	// hastyCopies of a write are sent in a hurry: where a third of the answers is
-	// lost, one write in a hundred needs more, and the others suspect a leader that
-	// is not confirmed for half a second.
-	hastyCopies = 4
 )
 
 // Saver writes the leader's saves one after another and confirms the leadership
-// in between. A save without an answer is sent again.
+// in between.
 type Saver struct {
 	store    *Store
 	leader   Leader
@@ -110,74 +106,95 @@
 	return v.version
 }
 
-// copied is the answer to one copy of a write.
-type copied struct {
+// answered is the answer to a copy of a write, or to a reading of the row.
+type answered struct {
 	sentAt  time.Time
+	read    bool
+	leader  Leader // that was read
 	version int64
 	err     error
 }
 
-// write makes one write until it is stored. While it has no answer, copies are
-// sent: all expect the same version, so that one of them counts at most, and none
-// that is carried out late. It returns false if the leadership is lost or the
-// saver stops.
+// write makes one write until it is stored. While it has no answer, the row is read,
+// and a copy is sent if that shows that the write was not carried out. All copies
+// expect the same version, so that one of them counts at most, and none that is
+// carried out late. A slow store carries the writes of a partition out one after
+// another, so that copies would delay it further. It returns false if the leadership
+// is lost or the saver stops.
 func (v *Saver) write(ctx context.Context, save *dispatch.Save, report func(Report)) bool {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	next := v.leader
+	next, expected := v.leader, v.version
 	next.Sequence++
-	expected := v.version
-	answers := make(chan copied)
-	began := time.Now()
-	send := func() {
-		sentAt := time.Now()
+	client := v.store.client
+	answers := make(chan answered)
+	ask := func(call func(context.Context, *answered)) {
+		a := answered{sentAt: time.Now()}
 		attempt, done := context.WithTimeout(ctx, saveTimeout)
 		go func() {
 			defer done()
-			version, err := v.store.WriteLeader(attempt, expected, next, save)
+			call(attempt, &a)
 			select {
-			case answers <- copied{sentAt, version, err}:
+			case answers <- a:
 			case <-ctx.Done():
 			}
 		}()
 	}
+	began := time.Now()
+	var sentAt time.Time // the newest copy
+	send := func() {
+		sentAt = time.Now()
+		ask(func(ctx context.Context, a *answered) {
+			a.version, a.err = v.store.WriteLeader(ctx, expected, next, save)
+		})
+	}
 	stored := func(version int64, at time.Time) bool {
 		v.version, v.leader, v.released = version, next, next.Released
 		report(Report{Saved: save.Number, Confirmed: at, Version: version})
 		return true
 	}
 	send()
-	copies := 0
-	again := time.NewTimer(v.store.client.Haste())
-	defer again.Stop()
+	overdue := time.NewTimer(client.Haste())
+	defer overdue.Stop()
 	for {
+		var a answered
 		select {
 		case <-ctx.Done():
 			return false
-		case <-again.C:
-			send()
-			if copies++; copies < hastyCopies {
-				again.Reset(v.store.client.Haste())
-			} else {
-				again.Reset(v.store.client.Patience())
-			}
-		case a := <-answers:
-			var replaced *replacedError
-			switch {
-			case a.err == nil:
-				return stored(a.version, a.sentAt)
-			case errors.As(a.err, &replaced):
-				if l := replaced.leader; l.Token == next.Token && l.Life == next.Life && l.Sequence == next.Sequence {
-					// An earlier copy was stored, at some time since the first.
-					return stored(replaced.version, began)
-				}
-				report(Report{Deposed: true})
-				return false
-			case ctx.Err() != nil:
-				return false
+		case <-overdue.C:
+			ask(func(ctx context.Context, a *answered) {
+				a.read = true
+				a.leader, a.version, a.err = v.store.ReadLeader(ctx)
+			})
+			continue
+		case a = <-answers:
+		}
+		var replaced *replacedError
+		switch {
+		case a.err == nil && !a.read:
+			return stored(a.version, a.sentAt)
+		case errors.As(a.err, &replaced):
+			a.leader, a.version = replaced.leader, replaced.version
+		case a.err != nil:
+			if ctx.Err() == nil {
+				report(Report{Err: errors.Wrap(a.err, "save")})
+				overdue.Reset(saveRetry)
 			}
-			report(Report{Err: a.err})
-			again.Reset(saveRetry)
+			continue
+		}
+		switch l := a.leader; {
+		case l.Token != next.Token || l.Life != next.Life:
+			report(Report{Deposed: true})
+			return false
+		case l.Sequence == next.Sequence:
+			// An earlier copy was stored, at some time since the first.
+			return stored(a.version, began)
+		}
+		if wait := client.Haste() - time.Since(sentAt); wait > 0 {
+			overdue.Reset(wait)
+			continue
 		}
+		send()
+		overdue.Reset(client.Haste())
 	}
 }
