scheduler: a stopped instance rejects the calls that it still reads

Ruled out: the daemon, which closes its servers after their open calls; the call is only left to its caller's deadline.

Change: after the instance has stopped, status calls and cancellations are rejected as unavailable at once, like submissions. Callers ask another one.

--- a/scheduler/call.go
+++ b/scheduler/call.go
@@ -15,7 +15,7 @@
 		w.Kind = home.WaitAccepted
 	}
 	if r.stopping {
-		w.Reject(r.emit, event.CodeUnavailable, "", "the instance is shutting down")
+		r.rejectStopping(w)
 		return
 	}
 	r.tokens[e.Token] = e.Request.ID
@@ -31,6 +31,10 @@
 	if e.Wait {
 		w.Kind = home.WaitOutcome
 	}
+	if r.stopped {
+		r.rejectStopping(w)
+		return
+	}
 	r.tokens[e.Token] = e.Request
 	if r.homes.Knows(e.Request) && r.homes.Status(w, e.Request) {
 		return
@@ -40,6 +44,10 @@
 
 func (r *Reducer) cancel(now time.Time, e event.Cancel) {
 	w := home.Waiter{Kind: home.WaitCancel, Token: e.Token}
+	if r.stopped {
+		r.rejectStopping(w)
+		return
+	}
 	r.tokens[e.Token] = e.Request
 	if r.homes.Knows(e.Request) {
 		r.homes.Cancel(now, w, e.Request)
@@ -48,6 +56,12 @@
 	r.entries.Open(now, entry.Call{Kind: entry.Cancel, Waiter: w, ID: e.Request})
 }
 
+// rejectStopping answers a call that a stopping instance does not take any more. A
+// call that was in the backlog of a pause may come after the instance has stopped.
+func (r *Reducer) rejectStopping(w home.Waiter) {
+	w.Reject(r.emit, event.CodeUnavailable, "", "the instance is shutting down")
+}
+
 // callHere carries out a call whose home is this instance.
 func (r *Reducer) callHere(now time.Time, c entry.Call) {
 	switch c.Kind {
--- a/scheduler/cases_test.go
+++ b/scheduler/cases_test.go
@@ -281,6 +281,19 @@
 		}
 	})
 
+	// Guards against a call from the backlog of a pause that is opened after the
+	// instance has said that nothing is left to do (rapid seed 2716).
+	It("rejects calls that it reads after it has stopped", func() {
+		n := c.nodes[0]
+		n.take(n.life, event.Shutdown{})
+		Expect(c.until(8*time.Second, func() bool { return n.stopped })).To(BeTrue())
+		for _, call := range []event.Event{
+			event.Status{Token: 90, Request: "elsewhere", Wait: true}, event.Cancel{Token: 91, Request: "elsewhere"},
+		} {
+			Expect(n.r.Apply(c.now, call)).To(ContainElement(HaveField("Code", event.CodeUnavailable)))
+		}
+	})
+
 	// Guards against a takeover that runs the batch tasks of a dead owner again.
 	It("adopts the batch tasks of a dead owner", func() {
 		for i := range 6 {
--- a/scheduler/message.go
+++ b/scheduler/message.go
@@ -63,7 +63,7 @@
 func (r *Reducer) forwarded(now time.Time, from model.InstanceID, m event.Forward) {
 	w := home.Waiter{Kind: home.WaitOutcome, Peer: from, Call: m.Call, Forward: true}
 	if r.stopping {
-		w.Reject(r.emit, event.CodeUnavailable, "", "the instance is shutting down")
+		r.rejectStopping(w)
 		return
 	}
 	if m.Home && r.homeOf(m.Request.ID) != r.o.Self.ID && !r.homes.Holds(m.Request.ID) {
