--- /dev/null
+++ b/jobstore/fuzz_test.go
@@ -0,0 +1,46 @@
+package jobstore
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"fuchsiacross/dispatch"
+	"fuchsiacross/job"
+)
+
+// Rows come back as they were written, and bytes that are no row are refused.
+func FuzzDecodeRows(f *testing.F) {
+	encoded, err := EncodeJob(job.Job{
+		ID: "5c0e7a21d94b36f8", Queue: "q", AcceptedAt: time.UnixMilli(5),
+		Definition: job.Definition{Spec: "s", Steps: []job.Step{{Tasks: 2, Gang: true, After: []int{0}, TargetMilliseconds: 4}}},
+	})
+	if err != nil {
+		f.Fatal(err)
+	}
+	progress, err := EncodeProgress(dispatch.Progress{ID: "5c0e7a21d94b36f8", Steps: []dispatch.StepProgress{{Step: 1, Done: []byte{3}}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	leader, err := encodeLeader(Leader{Name: "a", Token: 7}, time.Second)
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, seed := range [][]byte{encoded, progress, leader, {0xa0}, {0xff}, nil} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		if j, err := DecodeJob(text); err == nil {
+			again, err := EncodeJob(j)
+			if err != nil {
+				t.Fatalf("cannot store %+v: %v", j, err)
+			}
+			if back, err := DecodeJob(again); err != nil || !reflect.DeepEqual(back, j) {
+				t.Fatalf("stored %+v, read %+v, %v", j, back, err)
+			}
+		}
+		_, _ = DecodeProgress("5c0e7a21d94b36f8", text)
+		_, _, _ = decodeLeader(text)
+		_, _ = decodeWorker("i-1", text)
+	})
+}
