instance: true estimates in the test of a killed leader, and its log when it fails

The tasks took 400 ms with an estimate of 100 ms, so that the new leader judged a worker slow and moved the run:

505.64 820 claimed … 506.16 850 run ordered (w2) 506.54 855 run moved 506.54 853 run ended, stopped … 506.56 850 run ordered (w3) 506.97 853 done

Ruled out: two runs at the same time (the recorder reported none), an order without an answer (no 852), a copy of an order (other run numbers).

Change: the test submits the tasks' true length as its estimate; it still wants one start of each task. Specs write the instances' logs to ginkgo's writer, so that a failure shows them.

--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"fuchsiacross/platform/standin"
 )
@@ -55,6 +56,8 @@
 		DeferCleanup(r.Close)
 		s.runners = append(s.runners, r)
 	}
+	// Ginkgo shows the log of a test that fails.
+	log := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.AddSync(GinkgoWriter), zap.InfoLevel))
 	for n := range instances {
 		peer := freeAddress()
 		i, err := New(Settings{
@@ -62,7 +65,7 @@
 			PeerAddress: peer, AdvertisedAddress: peer, MetricsAddress: freeAddress(), StoreAddress: s.store.Address(),
 			AdviceAddress:  advice.Listener.Addr().(*net.TCPAddr).AddrPort(),
 			ProcessorShare: 0.4, MemoryMegabytes: 284, GraceSeconds: 3, MaxHoldMilliseconds: 10_000, StopMilliseconds: 400, RetentionSeconds: 120,
-		}, zap.NewNop(), func() int64 { return 0 })
+		}, log, func() int64 { return 0 })
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(func() { kill(i) })
 		s.instances = append(s.instances, i)
@@ -156,9 +159,11 @@
 		once(s)
 	})
 
-	// A killed leader loses nothing: its successor adopts what runs.
+	// A killed leader loses nothing: its successor adopts what runs. The estimates are
+	// true, since runs that take four times as long move to other workers.
 	It("loses and doubles no job when the leader is killed", func() {
 		s := newSite(3, 4, 400*time.Millisecond)
+		body := strings.ReplaceAll(twoSteps, `"EstimateMs":100`, `"EstimateMs":400`)
 		old := s.leader()
 		var others []*Instance
 		for _, i := range s.instances {
@@ -167,7 +172,7 @@
 			}
 		}
 		for n := range 10 {
-			status, _ := s.call(others[n%2], http.MethodPost, path(n), twoSteps)
+			status, _ := s.call(others[n%2], http.MethodPost, path(n), body)
 			Expect(status).To(Equal(http.StatusOK))
 		}
 		Eventually(func() any {
