dispatch, instance: partly started gangs are stopped, and single measurements judge no processor

Their run numbers name leader 3, the next starts leader 5: the leadership changed hands while the gang was being ordered, and a new leader adopted the members that were there and never stopped them.

One measurement that is too short made the processor slow for good.

Change: when no run of the predecessor can be unknown any more, gangs of which only a part runs are stopped and start again together. The best is the least median of seven measurements instead of the least measurement.

Before: the new case of the reducer's tests fails, and a single short measurement counts. After: both pass.

--- a/dispatch/adopt.go
+++ b/dispatch/adopt.go
@@ -48,6 +48,14 @@
 			}
 		}
 	}
+	if !r.wasSettled {
+		return
+	}
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			r.settleGang(s)
+		}
+	}
 }
 
 // adopt takes over a run that a predecessor started, or stops it.
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -318,6 +318,27 @@
 		Expect(c.noted[dispatch.NoteRunStarted]).To(Equal(1))
 	})
 
+	// The members that were there waited 4 s for one that nobody would start (hunt on
+	// grown Cobán, mix seed 205969752237: GANG 3).
+	It("starts a gang again of which a predecessor has started a part", func() {
+		c := newCell(4, 16, plain)
+		c.run(200 * time.Millisecond)
+		first := true
+		c.started = func(s dispatch.StartRun) (bool, time.Duration) {
+			if first && s.Task.Index == 3 {
+				return false, time.Hour
+			}
+			return true, 0
+		}
+		c.submit(newJob(1, "plain", job.Step{Tasks: 4, Gang: true, Demand: demand(8, 4), EstimateMilliseconds: 800}))
+		c.run(50 * time.Millisecond)
+		first = false
+		c.loseLeader(200 * time.Millisecond)
+		c.run(2500 * time.Millisecond)
+		Expect(state(c, 1)).To(Equal(job.StateCompleted))
+		Expect(c.violations).To(BeEmpty())
+	})
+
 	// Jobs that were stored while nobody led waited until every worker had been
 	// read, for 2.5 s if one did not answer.
 	It("starts jobs that no other leader was told of before all workers are read", func() {
--- a/dispatch/end.go
+++ b/dispatch/end.go
@@ -109,6 +109,18 @@
 	}
 }
 
+// settleGangs stops the gangs of which a predecessor has started a part only. Their
+// members would wait for the others until their time is over.
+func (r *Reducer) settleGangs() {
+	for _, j := range r.jobs {
+		for _, o := range j.occurrences {
+			for _, s := range o.steps {
+				r.settleGang(s)
+			}
+		}
+	}
+}
+
 // settleGang stops the members of a gang that has lost one, so that all start
 // again together.
 func (r *Reducer) settleGang(s *stepState) {
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -32,6 +32,7 @@
 	if settled && !r.wasSettled {
 		r.wasSettled = true
 		r.noteSettled()
+		r.settleGangs()
 	}
 	r.advice.order = r.order()
 	for _, c := range r.advice.order {
--- a/instance/speed.go
+++ b/instance/speed.go
@@ -19,8 +19,8 @@
 	// gaugeRecent is how many measurements count: their median changes half a
 	// second after the processor, and not with single interruptions.
 	gaugeRecent = 7
-	// slowedFrom and soundBelow are how many times longer than the best a
-	// measurement takes on a processor that has become slow, and on one that has not.
+	// slowedFrom and soundBelow are how many times longer than at best measurements
+	// take on a processor that has become slow, and on one that has not.
 	slowedFrom = 2.5
 	soundBelow = 1.5
 	// slowedRanks delays the claims of an instance whose processor has become slow
@@ -34,25 +34,27 @@
 // gauge tells from repeated measurements how many times slower than usual a
 // processor is.
 type gauge struct {
-	best   time.Duration
+	best   time.Duration // the least median
 	recent []time.Duration
 	factor float64 // one for a sound processor
 }
 
 // observe counts a measurement and reports whether the factor has changed.
 func (g *gauge) observe(took time.Duration) bool {
-	if g.best == 0 || took < g.best {
-		g.best = max(took, 1)
-	}
 	g.recent = append(g.recent, took)
+	if len(g.recent) < gaugeRecent {
+		return false
+	}
 	if len(g.recent) > gaugeRecent {
 		g.recent = slices.Delete(g.recent, 0, 1)
 	}
-	sorted := slices.Sorted(slices.Values(g.recent))
-	ratio := float64(sorted[len(sorted)/2]) / float64(g.best)
+	median := slices.Sorted(slices.Values(g.recent))[gaugeRecent/2]
+	if g.best == 0 || median < g.best {
+		g.best = max(median, 1)
+	}
+	ratio := float64(median) / float64(g.best)
 	before := g.slowed()
 	switch {
-	case len(g.recent) < gaugeRecent:
 	case ratio >= slowedFrom:
 		if !before {
 			g.factor = ratio
--- a/instance/speed_test.go
+++ b/instance/speed_test.go
@@ -26,6 +26,7 @@
 		{"is slow when most measurements take several times as long", [][]time.Duration{repeat(20, 1), repeat(gaugeRecent, 6)}, true, 1},
 		{"is sound again", [][]time.Duration{repeat(20, 1), repeat(20, 6), repeat(20, 1.2)}, false, 2},
 		{"does not change with single interruptions", [][]time.Duration{repeat(20, 1), repeat(2, 100), repeat(5, 1), repeat(2, 100), repeat(20, 1)}, false, 0},
+		{"does not change with single measurements that are too short", [][]time.Duration{repeat(20, 1), repeat(2, 0.1), repeat(20, 1)}, false, 0},
 		{"does not change with a moderate difference", [][]time.Duration{repeat(20, 1), repeat(20, 2)}, false, 0},
 	}
 	for _, test := range tests {
