dispatch: one loop over a job's gangs, one check of an answered order's token

Cause: the read of the whole change found the loop that settles the gangs of a job twice, in adoptStrays and settleGangs, and the check of a refused token once more in paceAnswered than in stopAnswered.

Ruled out: joining startAnswered, which counts the worker's answer before the check.

Change: settleGangsOf and answering serve both. No decision changes; the package's specs pass before and after.

--- a/dispatch/adopt.go
+++ b/dispatch/adopt.go
@@ -48,13 +48,8 @@
 			}
 		}
 	}
-	if !r.wasSettled {
-		return
-	}
-	for _, o := range j.occurrences {
-		for _, s := range o.steps {
-			r.settleGang(s)
-		}
+	if r.wasSettled {
+		r.settleGangsOf(j)
 	}
 }
 
--- a/dispatch/end.go
+++ b/dispatch/end.go
@@ -113,10 +113,14 @@
 // members would wait for the others until their time is over.
 func (r *Reducer) settleGangs() {
 	for _, j := range r.jobs {
-		for _, o := range j.occurrences {
-			for _, s := range o.steps {
-				r.settleGang(s)
-			}
+		r.settleGangsOf(j)
+	}
+}
+
+func (r *Reducer) settleGangsOf(j *jobState) {
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			r.settleGang(s)
 		}
 	}
 }
--- a/dispatch/filler.go
+++ b/dispatch/filler.go
@@ -102,14 +102,10 @@
 }
 
 func (r *Reducer) paceAnswered(e PaceAnswered) {
-	w := r.workers[e.Worker]
+	w := r.answering(e.Worker, e.Rejection)
 	if w == nil {
 		return
 	}
-	if e.Rejection == job.RejectedToken {
-		r.effects.Deposed = true
-		return
-	}
 	if paced := w.runs[runKey{e.Task, e.Run}]; paced != nil && e.Err == nil && e.Rejection == "" {
 		paced.percentOfTime = e.Percent
 	}
--- a/dispatch/start.go
+++ b/dispatch/start.go
@@ -96,15 +96,22 @@
 	r.openStep(s)
 }
 
+// answering returns the worker that answers an order, unless it is not known any
+// more or obeys another leader.
+func (r *Reducer) answering(id job.WorkerID, rejection job.Rejection) *worker {
+	w := r.workers[id]
+	if w != nil && rejection == job.RejectedToken {
+		r.effects.Deposed = true
+		return nil
+	}
+	return w
+}
+
 func (r *Reducer) stopAnswered(e StopAnswered) {
-	w := r.workers[e.Worker]
+	w := r.answering(e.Worker, e.Rejection)
 	if w == nil {
 		return
 	}
-	if e.Rejection == job.RejectedToken {
-		r.effects.Deposed = true
-		return
-	}
 	w.health.ordered(r.now, e.Err == nil)
 	stopped := w.runs[runKey{e.Task, e.Run}]
 	if stopped == nil || e.Err != nil {
