advicelane, dispatch: the choice of lanes no longer grows with the square of the instances

Cause: a profile of the reducer under the load of 540 workers and 97 instances (DISPATCH_LARGE=1 go test ./dispatch -cpuprofile) spent 27.5 of 44.1 s of Apply in requestAdvice, 22.6 s of them in SelectLane: for each waiting step and each lane, all lanes were counted. A leader with 0.8 of a core fell behind, calls for advice timed out and were made again.

Change: the lanes that have open calls are counted when a call begins or ends. The selected lane is kept for the next step until a call is sent. The lists of known workers of a job are kept between its saves, and workers are sorted by free processors only if a step may need more of them.

Ruled out: input and output of orders and readings (50 to 70 us each, about 0.1 core at 800 starts a second).

--- a/advicelane/advicelane.go
+++ b/advicelane/advicelane.go
@@ -75,11 +75,42 @@
 	openCalls       [classCount]int
 	busyUntil       time.Time // time at which all open calls are expected to be answered
 	nextAnswerDueAt time.Time // latest time at which the next answer is expected
-	removed         bool
+	usage           *usage    // of all lanes; nil if the lane was removed
+}
+
+// usage counts the lanes that have open calls.
+type usage struct {
+	slowLanes  int             // lanes with open calls that are not cheap
+	classLanes [classCount]int // lanes with open calls of a class
+}
+
+// add counts the open calls of a lane with the given sign.
+func (u *usage) add(l *Lane, sign int) {
+	if u == nil {
+		return
+	}
+	for class, open := range l.openCalls {
+		if open > 0 {
+			u.classLanes[class] += sign
+		}
+	}
+	if l.hasSlowCalls() {
+		u.slowLanes += sign
+	}
 }
 
 // Removed reports whether the last SetNames left the lane out.
-func (l *Lane) Removed() bool { return l.removed }
+func (l *Lane) Removed() bool { return l.usage == nil }
+
+// hasSlowCalls reports whether the lane has open calls that are not cheap.
+func (l *Lane) hasSlowCalls() bool { return l.openCalls[Medium]+l.openCalls[Expensive] > 0 }
+
+// changeOpenCalls changes the number of open calls of a class.
+func (l *Lane) changeOpenCalls(class Class, change int) {
+	l.usage.add(l, -1)
+	l.openCalls[class] += change
+	l.usage.add(l, 1)
+}
 
 // RecordCall adds an open call that the service answers in the time cost, and returns when
 // its answer is expected.
@@ -88,13 +119,13 @@
 	if l.isIdle() {
 		l.nextAnswerDueAt = l.busyUntil
 	}
-	l.openCalls[class]++
+	l.changeOpenCalls(class, 1)
 	return l.busyUntil
 }
 
 // RecordAnswer removes an open call that has ended, with or without an answer.
 func (l *Lane) RecordAnswer(class Class, now time.Time) {
-	l.openCalls[class]--
+	l.changeOpenCalls(class, -1)
 	if l.isIdle() {
 		l.busyUntil = now
 	}
@@ -113,22 +144,28 @@
 
 // Lanes holds the lanes of all instances that can make calls. The zero value holds none.
 type Lanes struct {
-	lanes []*Lane
+	lanes         []*Lane
+	usage         *usage
+	examinedLanes int64 // by all selections
 }
 
+// ExaminedLanes returns how many lanes all selections have considered.
+func (l *Lanes) ExaminedLanes() int64 { return l.examinedLanes }
+
 // SetNames replaces the lanes. A lane whose name was there before keeps its open calls.
 func (l *Lanes) SetNames(names []string) {
 	old := map[string]*Lane{}
 	for _, lane := range l.lanes {
-		old[lane.Name], lane.removed = lane, true
+		old[lane.Name], lane.usage = lane, nil
 	}
-	l.lanes = nil
+	l.lanes, l.usage = nil, &usage{}
 	for _, name := range names {
 		lane := old[name]
 		if lane == nil {
 			lane = &Lane{Name: name}
 		}
-		lane.removed = false
+		lane.usage = l.usage
+		l.usage.add(lane, 1)
 		l.lanes = append(l.lanes, lane)
 	}
 }
@@ -137,16 +174,20 @@
 // nil if the call would wait too long on each lane that is not reserved for other classes.
 func (l *Lanes) SelectLane(class Class, now time.Time) *Lane {
 	var best *Lane
+	bestWait := maxWaits[class]
 	for i, lane := range l.lanes {
 		if class == Cheap {
 			// Cheap calls try the lanes from the back, the other classes from the front.
 			lane = l.lanes[len(l.lanes)-1-i]
 		}
-		if lane.isOverdue(now) || !l.permits(lane, class) {
+		l.examinedLanes++
+		wait := lane.expectedWait(now)
+		if best != nil && wait >= bestWait || wait > bestWait || lane.isOverdue(now) || !l.permits(lane, class) {
 			continue
 		}
-		if wait := lane.expectedWait(now); wait <= maxWaits[class] && (best == nil || wait < best.expectedWait(now)) {
-			best = lane
+		best, bestWait = lane, wait
+		if wait == 0 {
+			break
 		}
 	}
 	return best
@@ -160,22 +201,12 @@
 		return true
 	}
 	count := len(l.lanes)
-	slowLanes, classLanes := 0, 0
-	for _, other := range l.lanes {
-		if other.openCalls[Medium]+other.openCalls[Expensive] > 0 {
-			slowLanes++
-		}
-		if other.openCalls[class] > 0 {
-			classLanes++
-		}
-	}
 	maxSlowLanes := max(1, count-reservedLanes(count, cheapReservedLanes))
 	maxClassLanes := maxSlowLanes - 1 // one lane is left to medium calls
 	if class == Medium {
 		maxClassLanes = maxSlowLanes - reservedLanes(count, expensiveReservedLanes)
 	}
-	onlyCheapCalls := lane.openCalls[Medium]+lane.openCalls[Expensive] == 0
-	return (!onlyCheapCalls || slowLanes < maxSlowLanes) && classLanes < max(1, maxClassLanes)
+	return (lane.hasSlowCalls() || l.usage.slowLanes < maxSlowLanes) && l.usage.classLanes[class] < max(1, maxClassLanes)
 }
 
 // reservedLanes returns how many of count lanes are reserved if perGroup of each
--- a/advicelane/advicelane_test.go
+++ b/advicelane/advicelane_test.go
@@ -112,6 +112,18 @@
 		Expect(l.SelectLane(advicelane.Expensive, start).Name).To(Equal("i05"))
 	})
 
+	// With 97 instances, half of the leader's processor time went into the choice of lanes: for
+	// each lane all lanes were counted.
+	It("examines each lane at most once for a call", func() {
+		for _, count := range []int{7, 38, 97, 400} {
+			l := newLanes(count)
+			calls := fillLanes(l, advicelane.Medium, start)
+			calls += fillLanes(l, advicelane.Expensive, start)
+			selections := int64(calls + 2) // one of each class finds no lane
+			Expect(l.ExaminedLanes()).To(BeNumerically("<=", selections*int64(count)), "%d lanes", count)
+		}
+	})
+
 	classTests := []struct {
 		cost  time.Duration
 		class advicelane.Class
--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -52,6 +52,7 @@
 type stepAdvice struct {
 	tickets   []ticket // sorted by worker ID
 	asked     map[*worker]struct{}
+	known     *knownWorkers  // cached until further advice is recorded
 	renew     []job.WorkerID // chosen workers without a valid ticket
 	stored    bool           // it is saved with the job, since it was expensive
 	openCalls int            // calls without an answer
@@ -68,18 +69,26 @@
 	expires time.Time
 }
 
-// knownWorkers returns the workers that may and may not run the step, sorted by ID.
-func (a *stepAdvice) knownWorkers() (allowed, denied []job.WorkerID) {
+// knownWorkers lists the workers that may and may not run a step, sorted by ID.
+type knownWorkers struct{ allowed, denied []job.WorkerID }
+
+// knownWorkers returns the workers that may and may not run the step. Each save of a job
+// contains them, so the lists are kept; they are never changed in place.
+func (a *stepAdvice) knownWorkers() *knownWorkers {
+	if a.known != nil {
+		return a.known
+	}
+	a.known = &knownWorkers{}
 	for w := range a.asked {
 		if _, found := a.findTicket(w.registration.ID); found {
-			allowed = append(allowed, w.registration.ID)
+			a.known.allowed = append(a.known.allowed, w.registration.ID)
 		} else {
-			denied = append(denied, w.registration.ID)
+			a.known.denied = append(a.known.denied, w.registration.ID)
 		}
 	}
-	slices.Sort(allowed)
-	slices.Sort(denied)
-	return allowed, denied
+	slices.Sort(a.known.allowed)
+	slices.Sort(a.known.denied)
+	return a.known
 }
 
 // applyStoredAdvice restores the advice that an earlier leader saved. Tickets are not saved;
@@ -108,6 +117,7 @@
 // recordAdvice records the workers that were asked for, and among them those that are allowed
 // to run a step.
 func (r *Reducer) recordAdvice(s *stepState, allowed, denied []job.WorkerID) {
+	s.advice.known = nil
 	if s.advice.asked == nil {
 		s.advice.asked = map[*worker]struct{}{}
 	}
@@ -129,7 +139,7 @@
 // releaseAdvice frees the data that only placement needs: the states of completed jobs are
 // kept for as long as clients may ask for them.
 func (s *stepState) releaseAdvice() {
-	s.advice.tickets, s.advice.asked, s.advice.renew, s.paces = nil, nil, nil, nil
+	s.advice.tickets, s.advice.asked, s.advice.known, s.advice.renew, s.paces = nil, nil, nil, nil, nil
 }
 
 // valid reports whether a start that is sent now arrives before the ticket expires.
@@ -155,6 +165,7 @@
 		return
 	}
 	a.tickets = slices.Insert(a.tickets, at, t)
+	a.known = nil
 }
 
 // callCost returns the time that the advice service takes for a call.
@@ -190,6 +201,9 @@
 	r.advice.needsCalls = false
 	r.advice.workersByFreeCPU = nil
 	fullClasses := map[advicelane.Class]bool{}
+	// Most waiting steps need no call, so the lane that was selected for one step is kept for
+	// the next.
+	selectedLanes := map[advicelane.Class]*advicelane.Lane{}
 	for _, purpose := range callPurposes {
 		refreshed := 0
 		for _, c := range r.advice.candidates {
@@ -207,16 +221,21 @@
 				}
 				refreshed++
 			}
-			l := r.advice.lanes.SelectLane(class, r.now)
+			l := selectedLanes[class]
+			if l == nil {
+				l = r.advice.lanes.SelectLane(class, r.now)
+			}
 			if l == nil {
 				fullClasses[class] = true
 				continue
 			}
+			selectedLanes[class] = l
 			workers := r.selectCallWorkers(s, purpose, class)
 			if len(workers) == 0 {
 				continue
 			}
 			r.sendAdviceCall(s, l, workers)
+			clear(selectedLanes)
 		}
 	}
 }
@@ -303,14 +322,18 @@
 		}
 		s.advice.widenAt = r.now.Add(widenInterval)
 	}
+	mayWiden := firstCall || r.now.Sub(s.openedAt) >= widenDelay
+	askedFew := len(s.advice.asked) < limit/fewAskedDivisor
+	if !mayWiden && !askedFew {
+		return nil
+	}
 	var list []*worker
 	for _, w := range r.sortByFreeCPU() {
 		if _, asked := s.advice.asked[w]; !asked && w.acceptsRuns && s.isEligible(w) {
 			list = append(list, w)
 		}
 	}
-	fewAsked := len(list) > len(s.advice.asked) && len(s.advice.asked) < limit/fewAskedDivisor
-	if !firstCall && !fewAsked && r.now.Sub(s.openedAt) < widenDelay {
+	if !mayWiden && len(list) <= len(s.advice.asked) {
 		return nil
 	}
 	if !firstCall && len(list) < len(s.advice.asked)/widenDivisor && len(s.advice.tickets) > 0 {
@@ -355,12 +378,15 @@
 	if r.advice.workersByFreeCPU != nil {
 		return r.advice.workersByFreeCPU
 	}
+	for i, w := range r.sortedWorkers {
+		w.sortedFreeCPU, w.position = w.free().MilliCPU, i
+	}
 	r.advice.workersByFreeCPU = slices.Clone(r.sortedWorkers)
 	slices.SortFunc(r.advice.workersByFreeCPU, func(a, b *worker) int {
-		if n := compare(b.free().MilliCPU, a.free().MilliCPU); n != 0 {
-			return n
+		if a.sortedFreeCPU != b.sortedFreeCPU {
+			return compare(b.sortedFreeCPU, a.sortedFreeCPU)
 		}
-		return compare(a.registration.ID, b.registration.ID)
+		return compare(a.position, b.position)
 	})
 	return r.advice.workersByFreeCPU
 }
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -202,7 +202,8 @@
 				}
 			}
 			if !s.complete() && j.queue.RequiresAdvice && s.advice.stored {
-				sp.AllowedWorkers, sp.DeniedWorkers = s.advice.knownWorkers()
+				known := s.advice.knownWorkers()
+				sp.AllowedWorkers, sp.DeniedWorkers = known.allowed, known.denied
 			}
 			if sp.Done != nil || sp.Failures != nil || sp.AllowedWorkers != nil || sp.DeniedWorkers != nil {
 				p.Steps = append(p.Steps, sp)
--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -45,9 +45,10 @@
 	kinds           []requestKind
 	rateFactor      func(queue string, at time.Duration) float64
 	duration        time.Duration
-	paces           []float64 // factors on the length of runs, by kind of worker; nil for one kind
-	maxGangFraction float64   // largest fraction of all processors that a gang takes; zero means no limit
-	laneCount       int       // instances that request advice; zero means as many as on the standard sites
+	paces           []float64     // factors on the length of runs, by kind of worker; nil for one kind
+	maxGangFraction float64       // largest fraction of all processors that a gang takes; zero means no limit
+	pollDelay       time.Duration // from the end of a job until its client asks for its state
+	laneCount       int           // instances that request advice; zero means as many as on the standard sites
 	seed            uint64
 }
 
@@ -236,7 +237,7 @@
 		worth := min(4, 0.3+0.7*record.work/(workByQueue[record.queue]/countByQueue[record.queue])) * record.worth
 		maxByQueue[record.queue] += worth
 		maxTotal += worth
-		took := sim.completedAt[id].Sub(sim.submittedAt[id])
+		took := sim.completedAt[id].Sub(sim.submittedAt[id]) + l.pollDelay
 		switch {
 		case sim.completedAt[id].IsZero() || took > 3*record.objective:
 			result.expired[record.queue]++
--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -385,6 +385,9 @@
 // ExaminedPlaces returns how many places all passes have considered.
 func (r *Reducer) ExaminedPlaces() int64 { return r.examinedPlaces }
 
+// ExaminedLanes returns how many lanes all calls for advice have considered.
+func (r *Reducer) ExaminedLanes() int64 { return r.advice.lanes.ExaminedLanes() }
+
 // Pending returns the number of a queue's jobs without a started task. It is unknown before
 // the jobs are loaded.
 func (r *Reducer) Pending(queue string) (count int64, known bool) {
--- a/dispatch/simulation_test.go
+++ b/dispatch/simulation_test.go
@@ -51,6 +51,7 @@
 	noteCounts      map[dispatch.NoteKind]int
 	lastExplanation string // latest explanation of a waiting step
 	callCount       int
+	appliedEvents   int
 	calls           []dispatch.RequestAdvice
 	startedAt       map[job.ID]time.Time // first start of each job
 	allows          func(job.StepID, job.WorkerID) bool
@@ -292,6 +293,7 @@
 	if sim.reducer == nil {
 		return
 	}
+	sim.appliedEvents++
 	effects := sim.reducer.Apply(sim.now, event)
 	for _, n := range effects.Notes {
 		sim.noteCounts[n.Kind]++
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -40,6 +40,11 @@
 	healthState healthState     // as last logged
 	uncommitted model.Resources // capacity that is neither used nor set aside
 
+	// Sort keys of the last sort by free processors: the free processors and the position in
+	// the order of the IDs.
+	sortedFreeCPU int64
+	position      int
+
 	reservedFor   *stepState // a blocked step that it is reserved for, or nil
 	reservedUntil time.Time
 }
