shardmap, instance: shards follow from the workers that a leader's processor serves

Cause: one leader of 540 workers fell behind on the large site and did not recover.

Change: a leader serves 500 workers for each whole processor of the largest instances, and a shard has at least 240 workers of each pool, for the sake of wide gangs. 350 workers stay one shard, 540 and 700 make two, 3,000 make eight. A rack counts as complete when the map is planned.

The test case of 599 workers in one shard is replaced: the smallest shard is smaller now (460 workers stay one shard), and a division of 540 is asked for.

The test of a missing registration fails on the former code (600 and 599 workers).

--- a/instance/member.go
+++ b/instance/member.go
@@ -55,11 +55,14 @@
 type instanceRank struct {
 	larger  int64 // number of instances with more processor time
 	earlier int64 // number of instances with equal processor time and a lower name
+	// largestShare is the processor time of the largest instance, as a share of one processor.
+	largestShare float64
 }
 
 // readInstanceRank reads the position of this instance. If the store does not answer, the
 // instance counts as the largest.
 func (i *Instance) readInstanceRank() (rank instanceRank) {
+	rank.largestShare = i.settings.ProcessorShare
 	ctx, cancel := context.WithTimeout(i.ctx, storeCallTimeout)
 	defer cancel()
 	rows, _, err := i.store.Read(ctx, memberTable, memberPartition, "", "")
@@ -74,6 +77,7 @@
 			logevent.InstanceRowUnreadable.Log(i.log, zap.String("member", row.Key), errorField(err))
 			continue
 		}
+		rank.largestShare = max(rank.largestShare, w.ProcessorShare)
 		switch {
 		case w.ProcessorShare > i.settings.ProcessorShare:
 			rank.larger++
--- a/instance/shard.go
+++ b/instance/shard.go
@@ -94,6 +94,7 @@
 	deadline := time.Now().Add(planTimeout)
 	var planAt time.Time // zero while no worker is registered
 	workerCount := 0
+	largestShare := i.settings.ProcessorShare
 	for {
 		m, err := i.readShardMap()
 		switch now := time.Now(); {
@@ -104,10 +105,11 @@
 		case planAt.IsZero():
 			if now.After(deadline) || i.hasWorkers() {
 				rank := i.readInstanceRank()
+				largestShare = rank.largestShare
 				planAt = now.Add(planRankDelay * time.Duration(rank.larger+rank.earlier))
 			}
 		case !now.Before(planAt):
-			workerCount = i.planShardMap(workerCount, now.After(deadline))
+			workerCount = i.planShardMap(workerCount, largestShare, now.After(deadline))
 		}
 		if !sleep(i.ctx, planInterval) {
 			return nil
@@ -136,9 +138,10 @@
 }
 
 // planShardMap reads the registered workers, and plans and stores a map if their number is
-// positive and equal to previousCount, or in any case if isDue is set. It returns the
-// number of workers, or zero after an error.
-func (i *Instance) planShardMap(previousCount int, isDue bool) int {
+// positive and equal to previousCount, or in any case if isDue is set. The largest instance
+// has the given share of a processor. It returns the number of workers, or zero after an
+// error.
+func (i *Instance) planShardMap(previousCount int, largestShare float64, isDue bool) int {
 	ctx, cancel := context.WithTimeout(i.ctx, loadTimeout)
 	defer cancel()
 	rows, _, err := i.store.Read(ctx, operator.WorkerTable, "", "", "")
@@ -157,10 +160,10 @@
 	if !isDue && (len(workers) == 0 || len(workers) != previousCount) {
 		return len(workers)
 	}
-	m := shardmap.Plan(workers)
+	m := shardmap.Plan(workers, largestShare)
 	err = jobstore.StoreShardMap(ctx, i.store, m)
 	i.recordStoreCall(err)
-	logevent.ShardsPlanned.Log(i.log, zap.Int("workers", len(workers)), zap.Int("shards", m.Shards), errorField(err))
+	logevent.ShardsPlanned.Log(i.log, zap.Int("workers", len(workers)), zap.Float64("processor_share", largestShare), zap.Int("shards", m.Shards), errorField(err))
 	return len(workers)
 }
 
--- a/shardmap/shardmap.go
+++ b/shardmap/shardmap.go
@@ -7,7 +7,7 @@
 //
 // # Usage
 //
-//	m := shardmap.Plan(workers)
+//	m := shardmap.Plan(workers, 0.8)
 //	shard := m.ShardOfJob(id)
 //	shard, known := m.ShardOfWorker(&worker)
 package shardmap
@@ -15,6 +15,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -23,10 +24,14 @@
 )
 
 const (
-	// minWorkersPerShard is the minimum number of workers of each pool in a shard. A leader
-	// can serve somewhat more (docs/platform.md, section "Scale"). With fewer, wide gangs
-	// would wait forever, since advice allows them only a third of the workers.
-	minWorkersPerShard = 300
+	// workersPerProcessor is how many workers one whole processor serves as a leader. Behind
+	// with 540 workers, a leader with 0.8 of a processor started 500 to 750 of 780 tasks a
+	// second; with 350 workers it kept up with 900.
+	workersPerProcessor = 500
+	// minWorkersPerShard is the minimum number of workers of each pool in a shard. With
+	// fewer, wide gangs would wait forever, since advice allows them only a third of the
+	// workers.
+	minWorkersPerShard = 240
 	// maxShards is 64 because the store keeps at most 100 tables: each shard has its own
 	// table of jobs, and the rest is left for other tables.
 	maxShards = 64
@@ -43,22 +48,37 @@
 // Single returns the map of a fleet that has only one shard.
 func Single() *Map { return &Map{Shards: 1} }
 
-// Plan divides workers evenly. Each shard gets racks of all pools and all data centres.
-func Plan(workers []job.Worker) *Map {
-	pools := map[string]int{}
+// Plan divides workers evenly. Each shard gets racks of all pools and all data centres. The
+// largest instances, which lead, have the given share of a processor.
+//
+// A rack counts as if it were complete. Some registrations may be missing when the map is
+// planned, and the map lasts for the life of the fleet.
+func Plan(workers []job.Worker, processorShare float64) *Map {
 	type rack struct{ pool, dataCentre, name string }
 	racks := map[string]rack{}
+	sizes := map[string]int{}        // of the racks
+	largestRacks := map[string]int{} // by pool
+	pools := map[string]int{}        // workers
 	for i := range workers {
 		w := &workers[i]
-		pools[w.Pool]++
-		if w.Rack != "" {
-			racks[w.Rack] = rack{w.Pool, string(w.DataCentre), w.Rack}
+		if w.Rack == "" {
+			pools[w.Pool]++
+			continue
 		}
+		racks[w.Rack] = rack{w.Pool, string(w.DataCentre), w.Rack}
+		sizes[w.Rack]++
+		largestRacks[w.Pool] = max(largestRacks[w.Pool], sizes[w.Rack])
+	}
+	for _, r := range racks {
+		pools[r.pool] += largestRacks[r.pool]
 	}
-	shards := min(maxShards, len(workers)/minWorkersPerShard)
+	total := 0
+	shards := maxShards
 	for _, n := range pools {
+		total += n
 		shards = min(shards, n/minWorkersPerShard)
 	}
+	shards = min(shards, int(math.Ceil(float64(total)/(workersPerProcessor*processorShare))))
 	if shards <= 1 {
 		return Single()
 	}
--- a/shardmap/shardmap_test.go
+++ b/shardmap/shardmap_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -31,35 +32,53 @@
 }
 
 var _ = Describe("Plan", func() {
+	const large, small = 0.8, 0.4 // shares of a processor
 	cases := []struct {
 		name    string
 		workers []job.Worker
+		share   float64 // of a processor that the largest instances have
 		shards  int
 	}{
-		{"no workers", nil, 1},
-		{"a small fleet", newFleet("a", 48, 6), 1},
-		{"a fleet that one leader serves", newFleet("a", 350, 20), 1},
+		{"no workers", nil, large, 1},
+		{"a small fleet", newFleet("a", 48, 6), small, 1},
+		{"a fleet that one leader serves", newFleet("a", 350, 20), large, 1},
 		// In three shards of 117 workers each, a gang of 40 tasks of 26 GB was offered only
 		// 24 workers.
-		{"a fleet whose halves would be too small for wide gangs", newFleet("a", 599, 20), 1},
-		{"a fleet whose halves are large enough", newFleet("a", 700, 20), 2},
-		{"2,800 workers", newFleet("a", 2800, 20), 9},
-		{"the largest fleet of the design", newFleet("a", 35000, 20), 64},
+		{"a fleet whose halves would be too small for wide gangs", newFleet("a", 460, 20), large, 1},
+		{"the same with smaller instances", newFleet("a", 460, 20), small, 1},
+		// One leader of 540 workers fell behind and did not recover.
+		{"a fleet that one leader cannot serve", newFleet("a", 540, 8), large, 2},
+		{"the same with smaller instances, for the sake of wide gangs", newFleet("a", 540, 8), small, 2},
+		{"a fleet whose halves are large enough", newFleet("a", 700, 20), large, 2},
+		{"2,800 workers", newFleet("a", 2800, 20), large, 7},
+		{"2,800 workers and smaller instances", newFleet("a", 2800, 20), small, 11},
+		{"the largest fleet of the design", newFleet("a", 35000, 20), large, 64},
 		// A shard without workers of a pool could never run the pool's jobs.
-		{"a small pool beside a large one", append(newFleet("a", 2800, 20), newFleet("b", 40, 8)...), 1},
-		{"a pool that limits the number of shards", append(newFleet("a", 2800, 20), newFleet("b", 900, 20)...), 3},
+		{"a small pool beside a large one", append(newFleet("a", 2800, 20), newFleet("b", 40, 8)...), large, 1},
+		{"a pool that limits the number of shards", append(newFleet("a", 2800, 20), newFleet("b", 740, 20)...), large, 3},
 	}
 	for _, c := range cases {
 		It(fmt.Sprintf("makes %d shards of %s", c.shards, c.name), func() {
-			Expect(shardmap.Plan(c.workers).Shards).To(Equal(c.shards))
+			Expect(shardmap.Plan(c.workers, c.share).Shards).To(Equal(c.shards))
 		})
 	}
 
+	// Five instances planned when 539 of 540 workers were registered, and stored one shard for
+	// good.
+	It("does not depend on a missing registration", func() {
+		for racks := 20; racks <= 400; racks++ {
+			all := newFleet("a", racks*8, 8)
+			for _, missing := range []int{0, len(all) / 2, len(all) - 1} {
+				Expect(shardmap.Plan(slices.Delete(slices.Clone(all), missing, missing+1), large)).To(Equal(shardmap.Plan(all, large)), "%d workers", len(all))
+			}
+		}
+	})
+
 	// A shard with too many workers overloads its leader; one with too few refuses jobs
 	// that the fleet has capacity for.
 	It("divides racks, pools, data centres and jobs evenly", func() {
 		workers := append(newFleet("a", 2800, 20), newFleet("b", 1200, 8)...)
-		m := shardmap.Plan(workers)
+		m := shardmap.Plan(workers, large)
 		count := map[string]int{}
 		for i := range workers {
 			shard, known := m.ShardOfWorker(&workers[i])
@@ -83,7 +102,7 @@
 
 	// Two leaders that both own a worker would overcommit it.
 	It("assigns a worker to at most one shard, even if its registration is incomplete", func() {
-		m := shardmap.Plan(newFleet("a", 2800, 20))
+		m := shardmap.Plan(newFleet("a", 2800, 20), large)
 		later := job.Worker{ID: "new", Pool: "a", Rack: "r9-9"}
 		first, known := m.ShardOfWorker(&later)
 		Expect(known).To(BeTrue())
