dispatch: tickets of a gang's chosen workers do not wait for other calls

A gang of 35 tasks had room for 71, with 14 tickets to renew, for seconds. Tickets of blocked gangs were kept valid by calls that named up to a hundred workers in the order of their ids and took a second each (390 + 100 x 5.6 ms); the renewal of the chosen workers' tickets waited for that call, and by then other tasks had the room.

Change: a renewal is sent beside an open call for other workers. Only tickets of reserved workers are refreshed, and only if they will be valid when the workers are expected to be free.

Replays report how the largest tenth of each queue is served.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -21,7 +21,6 @@
 	adviceRetryDelay  = 100 * time.Millisecond  // after a failed call
 	widenDelay        = 700 * time.Millisecond  // a step that waits longer requests advice on more workers
 	widenInterval     = 150 * time.Millisecond  // between two searches for more workers
-	maxRefreshedSteps = 3                       // blocked steps of expensive queues whose tickets are kept valid
 	refreshWindow     = 700 * time.Millisecond  // tickets that expire within this time are refreshed
 )
 
@@ -42,6 +41,7 @@
 	step      *stepState
 	lane      *advicelane.Lane
 	class     advicelane.Class
+	purpose   callPurpose
 	workers   []job.WorkerID
 	timeoutAt time.Time
 }
@@ -56,6 +56,7 @@
 	renew     []job.WorkerID // chosen workers without a valid ticket
 	stored    bool           // it is saved with the job, since it was expensive
 	openCalls int            // calls without an answer
+	renewals  int            // of these, calls that renew tickets of chosen workers
 	hedgeAt   time.Time      // when the answer to a cheap call becomes overdue
 	retryAt   time.Time
 	widenAt   time.Time // earliest time of the next search for more workers
@@ -205,22 +206,15 @@
 	// the next.
 	selectedLanes := map[advicelane.Class]*advicelane.Lane{}
 	for _, purpose := range callPurposes {
-		refreshed := 0
 		for _, c := range r.advice.candidates {
 			s := c.step
 			if !s.job.queue.RequiresAdvice || s.complete() || s.job.closed() || r.now.Before(s.advice.retryAt) {
 				continue
 			}
 			class := r.callClass(&s.job.queue)
-			if fullClasses[class] || s.advice.openCalls > 0 && !r.canHedge(s, class) {
+			if fullClasses[class] || !r.mayCall(s, purpose, class) {
 				continue
 			}
-			if purpose == purposeRefresh {
-				if class != advicelane.Expensive || refreshed == maxRefreshedSteps {
-					continue
-				}
-				refreshed++
-			}
 			l := selectedLanes[class]
 			if l == nil {
 				l = r.advice.lanes.SelectLane(class, r.now)
@@ -234,7 +228,7 @@
 			if len(workers) == 0 {
 				continue
 			}
-			r.sendAdviceCall(s, l, workers)
+			r.sendAdviceCall(s, l, workers, purpose)
 			clear(selectedLanes)
 		}
 	}
@@ -263,6 +257,21 @@
 	firstReadTimeout = 400 * time.Millisecond
 )
 
+// mayCall reports whether a step may make a call now. It makes one call at a time, except that
+// tickets of chosen workers do not wait for the answer about other workers: the capacity of a
+// gang would be lost in the meantime.
+func (r *Reducer) mayCall(s *stepState, purpose callPurpose, class advicelane.Class) bool {
+	switch {
+	case purpose == purposeRefresh && class != advicelane.Expensive:
+		return false
+	case s.advice.openCalls == 0:
+		return true
+	case purpose == purposeRenew && s.advice.renewals == 0:
+		return true
+	}
+	return r.canHedge(s, class)
+}
+
 // canHedge reports whether a second call for a step may be sent. A lost packet delays an
 // answer by about 200 ms, which is most of the time that an urgent job has.
 func (r *Reducer) canHedge(s *stepState, class advicelane.Class) bool {
@@ -287,13 +296,16 @@
 var callPurposes = []callPurpose{purposeRenew, purposeFirst, purposeWiden, purposeRefresh}
 
 // sendAdviceCall sends a call for a step through a lane.
-func (r *Reducer) sendAdviceCall(s *stepState, l *advicelane.Lane, workers []job.WorkerID) {
+func (r *Reducer) sendAdviceCall(s *stepState, l *advicelane.Lane, workers []job.WorkerID, purpose callPurpose) {
 	r.advice.lastCall++
 	cost := callCost(&s.job.queue, len(workers))
 	class := r.callClass(&s.job.queue)
 	due := l.RecordCall(class, cost, r.now)
-	r.advice.calls[r.advice.lastCall] = &adviceCall{step: s, lane: l, class: class, workers: workers, timeoutAt: due.Add(callTimeoutMargin)}
+	r.advice.calls[r.advice.lastCall] = &adviceCall{step: s, lane: l, class: class, purpose: purpose, workers: workers, timeoutAt: due.Add(callTimeoutMargin)}
 	s.advice.openCalls++
+	if purpose == purposeRenew {
+		s.advice.renewals++
+	}
 	s.advice.hedgeAt = due.Add(hedgeDelay)
 	r.effects.AdviceRequests = append(r.effects.AdviceRequests, RequestAdvice{
 		Number: r.advice.lastCall, Lane: l.Name, Step: s.id, Workers: workers,
@@ -399,21 +411,26 @@
 // fewer workers than that asks for more without widenDelay.
 const fewAskedDivisor = 4
 
-// workersToRefresh returns the workers of a blocked step if one of their tickets expires soon.
+// workersToRefresh returns the workers that are reserved for a blocked step, if they are
+// expected to have capacity while new tickets are valid and one of the tickets expires soon.
 func (r *Reducer) workersToRefresh(s *stepState) []job.WorkerID {
 	var ids []job.WorkerID
 	stale := false
+	var freeAt time.Time
 	for i := range s.advice.tickets {
 		t := &s.advice.tickets[i]
-		if t.worker.acceptsRuns && s.isEligible(t.worker) {
+		if t.worker.reservedFor == s && t.worker.acceptsRuns && s.isEligible(t.worker) {
 			ids = append(ids, t.worker.registration.ID)
 			stale = stale || r.now.Add(refreshWindow).After(t.expires)
+			freeAt = t.worker.reservedUntil
 		}
 	}
-	if !stale {
+	ids = ids[:min(len(ids), maxCallWorkers)]
+	validUntil := r.now.Add(callCost(&s.job.queue, len(ids)) + milliseconds(s.job.queue.TicketMilliseconds))
+	if !stale || freeAt.Add(refreshWindow).After(validUntil) {
 		return nil
 	}
-	return ids[:min(len(ids), maxCallWorkers)]
+	return ids
 }
 
 // handleAdviceAnswer records the tickets of an answer, or schedules a retry after a failed
@@ -428,6 +445,9 @@
 	c.lane.RecordAnswer(c.class, r.now)
 	s := c.step
 	s.advice.openCalls--
+	if c.purpose == purposeRenew {
+		s.advice.renewals--
+	}
 	if e.Err != nil {
 		s.advice.retryAt = r.now.Add(adviceRetryDelay)
 		r.addNote(Note{Kind: NoteAdviceFailed, Job: s.id.Job, Detail: e.Err.Error()})
--- a/dispatch/advice_test.go
+++ b/dispatch/advice_test.go
@@ -68,6 +68,28 @@
 		}
 	})
 
+	// The calls that kept the tickets of a blocked gang valid named a hundred workers and took a
+	// second each. When there was room, the tickets of the chosen workers had to be renewed
+	// after such a call, and the room was gone by then.
+	It("starts a gang within the time of one call after it has room", func() {
+		sim := newSimulation(200, 16, drafts, plain)
+		sim.setLanes(38)
+		sim.allows = func(job.StepID, job.WorkerID) bool { return true }
+		const filled = 8 * time.Second
+		sim.submit(newJob(1, "plain", job.Step{Tasks: 200, Demand: demand(16, 4), EstimateMilliseconds: float64(filled.Milliseconds())}))
+		sim.advance(200 * time.Millisecond)
+		for n := 2; n < 8; n++ {
+			sim.submit(newJob(n, "drafts", job.Step{Tasks: 20, Gang: true, Demand: demand(16, 4), EstimateMilliseconds: 4000}))
+		}
+		sim.advance(20 * time.Second)
+		call := drafts.AdviceCallMilliseconds + 20*drafts.AdviceWorkerMilliseconds
+		for n := 2; n < 8; n++ {
+			waited := sim.startedAt[id(n)].Sub(sim.startedAt[id(1)].Add(filled))
+			Expect(waited).To(BeNumerically("<", time.Duration(call+200)*time.Millisecond), "gang %d", n)
+		}
+		Expect(sim.violations).To(BeEmpty())
+	})
+
 	// A new leader requested advice on the few workers that it had read first. Jobs that could
 	// run on none of these waited for more than 2 s.
 	It("requests advice once most workers have been read", func() {
--- a/dispatch/largeload_test.go
+++ b/dispatch/largeload_test.go
@@ -60,7 +60,7 @@
 			load := largeLogs()
 			load.rateFactor = l.factor
 			began := time.Now()
-			fmt.Printf("LOAD %-14s %s, %v\n", l.name, averageReport(load, 1, nil), time.Since(began))
+			fmt.Printf("LOAD %-14s %s, %v\n", l.name, averageReport(load, 2, nil), time.Since(began))
 		}
 	})
 })
--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"math"
@@ -62,11 +63,14 @@
 	meanWait     map[string]time.Duration // mean time to the first start
 	adviceCalls  int
 	usedFraction float64 // fraction of the processors in use while the load lasts
+	// largestServed is the fraction of the largest tenth of a queue's jobs, by their work, that
+	// earned anything, relative to that fraction of all its jobs.
+	largestServed map[string]float64
 }
 
 func (r result) String() string {
-	return fmt.Sprintf("total %.3f by queue %.3v late %v never %v mean wait %v, %d calls for advice, packed %.3f",
-		r.total, r.queues, r.late, r.expired, r.meanWait, r.adviceCalls, r.usedFraction)
+	return fmt.Sprintf("total %.3f by queue %.3v late %v never %v mean wait %v, %d calls for advice, packed %.3f, largest %.2v",
+		r.total, r.queues, r.late, r.expired, r.meanWait, r.adviceCalls, r.usedFraction, r.largestServed)
 }
 
 // schrijfkraam returns the traffic of the site Schrijfkraam, called stalls in other names: 48
@@ -231,7 +235,8 @@
 	}
 	sim.schedule(5*time.Second, sample)
 	sim.advance(l.duration + 40*time.Second)
-	result := result{queues: map[string]float64{}, late: map[string]int{}, expired: map[string]int{}, meanWait: map[string]time.Duration{}, adviceCalls: sim.callCount, usedFraction: used / samples}
+	served := map[job.ID]bool{}
+	result := result{largestServed: map[string]float64{}, queues: map[string]float64{}, late: map[string]int{}, expired: map[string]int{}, meanWait: map[string]time.Duration{}, adviceCalls: sim.callCount, usedFraction: used / samples}
 	maxByQueue, maxTotal, earned := map[string]float64{}, 0.0, 0.0
 	for id, record := range records {
 		worth := min(4, 0.3+0.7*record.work/(workByQueue[record.queue]/countByQueue[record.queue])) * record.worth
@@ -246,11 +251,29 @@
 			result.late[record.queue]++
 			worth /= 5
 		}
+		served[id] = true
 		result.queues[record.queue] += worth
 		earned += worth
 	}
 	for q := range result.queues {
 		result.queues[q] /= maxByQueue[q]
+		var all []job.ID
+		for id, record := range records {
+			if record.queue == q {
+				all = append(all, id)
+			}
+		}
+		slices.SortFunc(all, func(a, b job.ID) int { return cmp.Compare(records[b].work, records[a].work) })
+		servedOf := func(ids []job.ID) float64 {
+			n := 0
+			for _, id := range ids {
+				if served[id] {
+					n++
+				}
+			}
+			return float64(n) / float64(max(1, len(ids)))
+		}
+		result.largestServed[q] = servedOf(all[:len(all)/10]) / servedOf(all)
 	}
 	waitByQueue := map[string]time.Duration{}
 	for id, at := range sim.startedAt {
@@ -294,13 +317,14 @@
 // sumResults returns the mean worth and the summed counts of several results.
 func sumResults(results []result) result {
 	seeds := len(results)
-	sum := result{queues: map[string]float64{}, late: map[string]int{}, expired: map[string]int{}, meanWait: map[string]time.Duration{}}
+	sum := result{largestServed: map[string]float64{}, queues: map[string]float64{}, late: map[string]int{}, expired: map[string]int{}, meanWait: map[string]time.Duration{}}
 	for _, r := range results {
 		sum.total += r.total / float64(seeds)
 		sum.adviceCalls += r.adviceCalls
 		sum.usedFraction += r.usedFraction / float64(seeds)
 		for q := range r.queues {
 			sum.queues[q] += r.queues[q] / float64(seeds)
+			sum.largestServed[q] += r.largestServed[q] / float64(seeds)
 			sum.late[q] += r.late[q]
 			sum.expired[q] += r.expired[q]
 			sum.meanWait[q] += r.meanWait[q] / time.Duration(seeds)
