instance, logevent: a leader logs its load

Every two seconds: how much of its time it decided and sent, what was queued, the longest batch and delay. The event is a warning when the leader is overloaded.

--- a/instance/leader.go
+++ b/instance/leader.go
@@ -63,6 +63,8 @@
 	allConfirmedAt       time.Time     // last confirmation to all instances
 	lastWriteTime        time.Duration // duration of the last write to the store
 	resigning            bool
+
+	load leaderLoad // of the control goroutine, which alone uses it
 }
 
 // member is another instance, as a leader knows it.
@@ -113,6 +115,7 @@
 	defer ticker.Stop()
 	lastTick := time.Now()
 	termStart := lastTick
+	l.load.since = lastTick
 	batch := make([]any, 0, maxEventBatch)
 	for running := true; running; {
 		select {
@@ -128,8 +131,11 @@
 			if late := time.Since(lastTick); late > lateTickThreshold {
 				logevent.LeaderDelayed.Log(s.log, zap.Duration("since_last_tick", late))
 			}
-			lastTick = time.Now()
-			l.executeEffects(reducer.Apply(lastTick, dispatch.Tick{}))
+			now := time.Now()
+			l.load.recordTick(now.Sub(lastTick))
+			lastTick = now
+			l.applyEvents(reducer, lastTick, dispatch.Tick{})
+			l.load.report(s.log, time.Now())
 			if s.canYield(lastTick, termStart) && l.hasLargerMember() {
 				s.recordYield()
 				logevent.LeadershipYielded.Log(s.log, zap.Int64("token", l.token), zap.Float64("processor_share", s.availableProcessorShare()))
@@ -164,10 +170,7 @@
 		}
 	}
 	if len(events) > 0 {
-		began := time.Now()
-		effects := r.Apply(began, events...)
-		l.instance.timer("reducer").UpdateSince(began)
-		l.executeEffects(effects)
+		l.applyEvents(r, time.Now(), events...)
 	}
 	for _, e := range batch {
 		if f, ok := e.(reducerQuery); ok {
@@ -176,6 +179,15 @@
 	}
 }
 
+// applyEvents applies events to the reducer and executes the effects.
+func (l *leadership) applyEvents(r *dispatch.Reducer, now time.Time, events ...any) {
+	effects := r.Apply(now, events...)
+	applied := time.Now()
+	l.instance.timer("reducer").Update(applied.Sub(now))
+	l.executeEffects(effects)
+	l.load.record(len(events), len(l.events), applied.Sub(now), time.Since(applied))
+}
+
 // post queues an event for the reducer, unless the term has ended.
 func (l *leadership) post(e any) {
 	select {
