dispatch: the number of reservations grows with the fleet

The others found each gap taken by smaller tasks.

Change: six reservations and one more for each 45 workers, instead of seven.

The new test compares the gangs' worth with that of seven reservations.

--- a/dispatch/largeload_test.go
+++ b/dispatch/largeload_test.go
@@ -29,7 +29,33 @@
 	return l
 }
 
+// largeShard returns the traffic of one of two shards of largeLogs.
+func largeShard() workload {
+	l := largeLogs()
+	l.workers, l.laneCount, l.maxGangFraction = 270, 48, 0.07
+	for i := range l.kinds {
+		l.kinds[i].perSecond /= 2
+	}
+	return l
+}
+
 var _ = Describe("Large load", func() {
+	// With a quarter more work than a calm day has, a dozen gangs wait at a time. Workers were
+	// reserved for seven of them.
+	It("reserves workers for more gangs than in a small fleet", func() {
+		l := largeShard()
+		l.rateFactor = func(string, time.Duration) float64 { return 1.25 }
+		earned := func(reservations int) float64 {
+			results := replaySeeds(l, 2, func(sim *simulation) {
+				sim.options.Policy.Reservations = reservations
+				sim.startLeader(sim.options)
+			})
+			return sumResults(results).queues["reconciliations"]
+		}
+		const forSmallFleet, forThisShard = 7, 0
+		Expect(earned(forThisShard)).To(BeNumerically(">", earned(forSmallFleet)))
+	})
+
 	// In overload some hundred steps wait. For each of them, and after each event, all 97 lanes
 	// were examined before it turned out that the step needs no call.
 	It("examines the lanes once for each call and each round of calls", func() {
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -162,7 +162,7 @@
 		return
 	}
 	p.explainWaiting(c, missing, len(choices))
-	if blocked && s.step.Gang && p.reserving && p.reservedSteps < maxReservations && p.reservationSearches < maxReservationSearches && c.grade != gradeTooLate {
+	if blocked && s.step.Gang && p.mayReserve() && c.grade != gradeTooLate {
 		p.reserveWorkers(s)
 	}
 }
--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -80,6 +80,7 @@
 type Policy struct {
 	FirstComeFirstServed bool // serve jobs in the order of acceptance
 	UseRawEstimates      bool // do not correct estimates by completed steps
+	Reservations         int  // blocked steps with reserved workers; zero means a number that grows with the fleet
 }
 
 // Reducer holds the state of all jobs and workers. It is not safe for concurrent use.
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -8,14 +8,31 @@
 )
 
 const (
-	// maxReservations limits the blocked steps that have workers reserved.
-	maxReservations = 7
-	// maxReservationSearches limits the searches for workers to reserve in one pass.
-	maxReservationSearches = 12
+	// minReservations and workersPerReservation set how many blocked steps have workers
+	// reserved at the same time. In a larger fleet more gangs wait: with a fixed number, those
+	// further back in the order found all gaps taken by smaller tasks.
+	minReservations       = 6
+	workersPerReservation = 45
+	// searchesPerReservation limits the searches for workers to reserve in one pass.
+	searchesPerReservation = 2
 	// reserveInterval is the time between two searches; expected ends change slowly.
 	reserveInterval = 50 * time.Millisecond
 )
 
+// maxReservations returns how many blocked steps may have workers reserved.
+func (r *Reducer) maxReservations() int {
+	if r.policy.Reservations > 0 {
+		return r.policy.Reservations
+	}
+	return minReservations + len(r.workers)/workersPerReservation
+}
+
+// mayReserve reports whether this pass may search for workers to reserve for another step.
+func (p *pass) mayReserve() bool {
+	limit := p.maxReservations()
+	return p.reserving && p.reservedSteps < limit && p.reservationSearches < searchesPerReservation*limit
+}
+
 // opening is capacity for tasks of a blocked step that becomes free on a worker.
 type opening struct {
 	at     time.Time
