platform/operator, platform/store: one odd entry costs one entry

A row of the store with a field of a wrong type made the client refuse its whole page, which a follower then read again without end.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -91,6 +91,10 @@
 		configurationKnown: make(chan struct{}), shardsKnown: make(chan struct{}), pendingRequests: map[int64]chan link.Message{},
 		ctx: ctx, cancel: cancel,
 	}
+	i.store.OnUnreadableRow = func(err error) {
+		i.counter("store.unreadable_rows").Inc(1)
+		logevent.StoreRowUnreadable.Log(i.log, errorField(err))
+	}
 	if s.AdviceAddress.IsValid() {
 		i.advice = advice.New(s.AdviceAddress)
 	}
