instance: a leader orders nothing after its release is stored

Change: nothing is sent once the release is stored or the term has ended.

Measured: the new test finds a start after the release on the former code. A second test has ten odd registrations beside two good workers; it passes on the former code too: no process ended and no list was left.

--- a/instance/effects.go
+++ b/instance/effects.go
@@ -24,11 +24,16 @@
 	shortPollDuration = 400 * time.Millisecond // for a worker that is unreliable or whose runs have to be watched
 )
 
-// executeEffects executes the effects that the reducer returned.
+// executeEffects executes the effects that the reducer returned. After the end of the term or
+// the release it sends nothing: while the links are still open for the announcement, the
+// successor may already have read the workers.
 func (l *leadership) executeEffects(e dispatch.Effects) {
 	for _, n := range e.Notes {
 		l.instance.logNote(n)
 	}
+	if l.released.Load() || l.ctx.Err() != nil {
+		return
+	}
 	if e.LeadershipLost {
 		l.stepDown("a worker has seen a higher token")
 		return
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -18,9 +18,11 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"fuchsiacross/dispatch"
 	"fuchsiacross/job"
 	"fuchsiacross/jobstore"
 	"fuchsiacross/loopback"
+	"fuchsiacross/platform/operator"
 	"fuchsiacross/platform/standin"
 	"fuchsiacross/platform/store"
 	"fuchsiacross/shardmap"
@@ -171,6 +173,16 @@
 	}, eventuallyTimeout, "50ms").Should(Equal("completed"))
 }
 
+// expectServed submits a job until it is accepted, and waits until it is completed.
+func (s *testCluster) expectServed(i *Instance, n int) {
+	GinkgoHelper()
+	Eventually(func() int {
+		status, _ := s.request(i, http.MethodPost, path(n), twoStepJob)
+		return status
+	}, eventuallyTimeout, "50ms").Should(Equal(http.StatusOK))
+	s.expectCompleted(i, n)
+}
+
 // expectStartedOnce expects that no task has started twice.
 func (s *testCluster) expectStartedOnce() {
 	GinkgoHelper()
@@ -342,6 +354,62 @@
 		Expect(status).To(Equal(http.StatusGone))
 	})
 
+	// For 40 ms after its release was stored, a leader went on ordering runs. Its successor had
+	// read the workers by then and started a gang again of which it had seen two members.
+	It("orders nothing after its release is stored", func() {
+		s := newTestCluster(2, 1, 100*time.Millisecond)
+		l := s.currentLeader().shards()[0].currentLeadership()
+		r := s.runners[0]
+		order := func(n int) dispatch.Effects {
+			return dispatch.Effects{Starts: []dispatch.StartRun{{
+				Worker: job.Worker{ID: job.WorkerID(r.ID), Address: r.Address()}, Run: 1 << 40,
+				Task: job.TaskID{StepID: job.StepID{Job: jobID(n)}}, Deadline: time.Now().Add(time.Hour).UnixMilli(),
+			}}}
+		}
+		l.executeEffects(order(1))
+		Eventually(s.recorder.StartCounts, eventuallyTimeout).Should(HaveLen(1))
+		go l.resign()
+		Eventually(l.released.Load, eventuallyTimeout, "1ms").Should(BeTrue())
+		l.executeEffects(order(2))
+		Consistently(s.recorder.StartCounts, "500ms").Should(HaveLen(1))
+	})
+
+	// Another writer's entries among the registrations ended the leader or stopped its reading
+	// of the list in systems like this one.
+	It("follows the other workers beside odd registrations", func() {
+		s := newTestCluster(2, 2, 100*time.Millisecond)
+		s.expectServed(s.instances[0], 1)
+		good := func(changes map[string]any) map[string]any {
+			entry := map[string]any{"Service": "pool", "Address": "127.0.0.1:9", "State": "ready", "Capacity": map[string]any{"Cpu": 16000, "MemMb": 64}, "born": 1}
+			maps.Copy(entry, changes)
+			return entry
+		}
+		const depth = 9000
+		odd := []any{
+			json.RawMessage(strings.Repeat("[", depth) + strings.Repeat("]", depth)),
+			good(map[string]any{"Labels": json.RawMessage(strings.Repeat("[", depth) + strings.Repeat("]", depth))}),
+			good(map[string]any{"Capacity": json.RawMessage(`{"Cpu":1e400}`)}),
+			good(map[string]any{"Capacity": json.RawMessage(`{"Cpu":9223372036854775807,"Gpu":9223372036854775807}`)}),
+			good(map[string]any{"born": json.RawMessage(`1e300`)}),
+			good(map[string]any{"State": "draining", "RemainingMs": json.RawMessage(`9223372036854775807`)}),
+			good(map[string]any{"Address": "127.0.0.1:70000"}),
+			good(map[string]any{"Address": "127.0.0.1:0"}),
+			7, nil, "text",
+		}
+		for n, entry := range odd {
+			s.store.Put(operator.WorkerTable, fmt.Sprintf("odd%d", n), entry)
+		}
+		s.expectServed(s.instances[1], 2)
+		// A new leader reads the whole list.
+		kill(s.currentLeader())
+		for _, i := range s.instances {
+			if i.ctx.Err() == nil {
+				s.expectServed(i, 3)
+			}
+		}
+		Expect(s.recorder.Violations()).To(BeEmpty())
+	})
+
 	It("hands over the leadership at shutdown", func() {
 		s := newTestCluster(2, 2, 200*time.Millisecond)
 		old := s.currentLeader()
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -56,6 +57,7 @@
 	cancel     context.CancelFunc
 	goroutines sync.WaitGroup
 	saver      *jobstore.Saver
+	released   atomic.Bool // the release is stored: a successor may already act
 
 	mu                   sync.Mutex
 	members              map[string]*member
@@ -220,6 +222,7 @@
 		logevent.LeadershipReleaseFailed.Log(l.shard.log, errorField(ctx.Err()))
 		return
 	}
+	l.released.Store(true)
 	successor := l.announceRelease(version)
 	logevent.LeadershipReleased.Log(l.shard.log, zap.Int64("token", l.token), zap.String("successor", successor))
 	sleep(l.ctx, announceDelay)
