jobstore, job: one row that cannot be decoded no longer keeps all jobs from a new leader

Cause: Load returned the error of the first row that could not be decoded, so that a shard with one odd row had no leader that knew its jobs, for good. A stored step that depends on a later one was accepted and ended the process that planned it (index out of range).

Change: a stored job is validated like a submitted one. A row that cannot be decoded costs the job that it belongs to, with log event 841; a job with unknown progress does not start; a worker whose row is unreadable counts as one that cannot be read, so that its runs count as lost only when its lease has expired. The job of a test of the map of shards and a fuzzing seed have steps now, since a job without steps is refused.

Measured: the new test fails on the former code (Load returns an error).

--- a/instance/shard.go
+++ b/instance/shard.go
@@ -73,6 +73,9 @@
 		if m.Shards > 1 {
 			s.log = i.log.With(zap.Int("shard", n))
 		}
+		s.jobs.OnUnreadableRow = func(key string, err error) {
+			logevent.JobUnreadable.Log(s.log, zap.String("key", key), errorField(err))
+		}
 		table.shards = append(table.shards, s)
 	}
 	i.shardTable.Store(table)
--- a/jobstore/codec.go
+++ b/jobstore/codec.go
@@ -90,7 +90,7 @@
 	return encode(w, "encode job")
 }
 
-// DecodeJob decodes the output of EncodeJob. It leaves Version unset.
+// DecodeJob decodes and validates the output of EncodeJob. It leaves Version unset.
 func DecodeJob(data []byte) (job.Job, error) {
 	var w wireJob
 	if err := cbor.Unmarshal(data, &w); err != nil {
@@ -116,6 +116,9 @@
 		}
 		j.Definition.Steps = append(j.Definition.Steps, s)
 	}
+	if err := j.Definition.Validate(); err != nil {
+		return job.Job{}, errors.Wrap(err, "decode job")
+	}
 	return j, nil
 }
 
--- a/jobstore/fuzz_test.go
+++ b/jobstore/fuzz_test.go
@@ -27,11 +27,25 @@
 	if err != nil {
 		f.Fatal(err)
 	}
-	for _, seed := range [][]byte{encoded, progress, leader, {0xa0}, {0xff}, nil} {
+	chain, err := EncodeJob(job.Job{
+		ID: "5c0e7a21d94b36f8", Queue: "q", AcceptedAt: time.UnixMilli(5),
+		Definition: job.Definition{Spec: "s", Steps: []job.Step{{Tasks: 2, Gang: true}, {Tasks: 1, After: []int{0}, TargetMilliseconds: 4}}},
+	})
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, seed := range [][]byte{encoded, chain, progress, leader, {0xa0}, {0xff}, nil} {
 		f.Add(seed)
 	}
 	f.Fuzz(func(t *testing.T, text []byte) {
 		if j, err := DecodeJob(text); err == nil {
+			for i, s := range j.Definition.Steps {
+				for _, before := range s.After {
+					if before < 0 || before >= i {
+						t.Fatalf("accepted %+v", j)
+					}
+				}
+			}
 			again, err := EncodeJob(j)
 			if err != nil {
 				t.Fatalf("encode %+v: %v", j, err)
--- a/jobstore/jobstore.go
+++ b/jobstore/jobstore.go
@@ -89,6 +89,8 @@
 	client          *store.Client
 	jobTable        string
 	leaderPartition string
+	// OnUnreadableRow is called by Load with the key of each row that cannot be decoded.
+	OnUnreadableRow func(key string, err error)
 
 	mu         sync.Mutex
 	avoidUntil map[string]time.Time // time until which Homes returns an unresponsive partition last
@@ -97,7 +99,7 @@
 // New returns the store of the given shard, which it accesses through c.
 func New(c *store.Client, shard int) *Store {
 	n := strconv.Itoa(shard)
-	return &Store{client: c, jobTable: jobTablePrefix + n, leaderPartition: leaderPartitionPrefix + n, avoidUntil: map[string]time.Time{}}
+	return &Store{client: c, jobTable: jobTablePrefix + n, leaderPartition: leaderPartitionPrefix + n, avoidUntil: map[string]time.Time{}, OnUnreadableRow: func(string, error) {}}
 }
 
 // JobTable returns the name of the table of the shard's jobs and cancellations.
@@ -288,7 +290,8 @@
 	return JobChange{Job: &j}, nil
 }
 
-// Load reads all jobs, cancellations, progress and workers of the shard. It repeats
+// Load reads all jobs, cancellations, progress and workers of the shard. A row that cannot be
+// decoded costs the job that it belongs to, and is reported to OnUnreadableRow. Load repeats
 // reads that are older than minVersion. The result includes all changes up to the
 // returned version; it may lack later ones.
 func (s *Store) Load(ctx context.Context, minVersion int64) (dispatch.JobsLoaded, int64, error) {
@@ -335,15 +338,21 @@
 	for _, row := range results[len(results)-1] {
 		w, err := decodeWorker(row.Key, row.Value)
 		if err != nil {
-			return loaded, 0, errors.Wrapf(err, "worker %s", row.Key)
+			// It may have runs. Without its address it cannot be read, so that these count
+			// as lost when its lease has expired.
+			s.OnUnreadableRow(row.Key, err)
+			w = job.Worker{ID: job.WorkerID(row.Key)}
 		}
 		loaded.Workers = append(loaded.Workers, w)
 	}
+	unreadable := map[job.ID]bool{} // jobs whose progress is unknown; none of their tasks may start
 	for _, rows := range results[jobPartitions : jobPartitions+ranges] {
 		for _, row := range rows {
 			p, err := DecodeProgress(job.ID(row.Key), row.Value)
 			if err != nil {
-				return loaded, 0, errors.Wrapf(err, "progress of %s", row.Key)
+				s.OnUnreadableRow(row.Key, err)
+				unreadable[job.ID(row.Key)] = true
+				continue
 			}
 			loaded.Progress = append(loaded.Progress, p)
 		}
@@ -354,7 +363,8 @@
 			change, err := DecodeRow(row)
 			switch {
 			case err != nil:
-				return loaded, 0, err
+				s.OnUnreadableRow(row.Key, err)
+			case change.Job != nil && unreadable[change.Job.ID]:
 			case change.Job != nil:
 				index, exists := indexes[change.Job.ID]
 				if !exists {
--- a/jobstore/jobstore_test.go
+++ b/jobstore/jobstore_test.go
@@ -52,6 +52,38 @@
 		return version != 0, err
 	}
 
+	// One row that could not be decoded kept a new leader from loading all other jobs.
+	It("loads all other jobs beside rows that cannot be decoded", func() {
+		Expect(accept()).To(BeTrue())
+		write := func(partition, table, key string, value []byte) {
+			_, err := store.New(server.Address()).Commit(ctx, store.Transaction{Partition: partition, Writes: []store.Write{{Table: table, Key: key, Value: value}}})
+			Expect(err).NotTo(HaveOccurred())
+		}
+		// A step that depends on a later one, which ended the process that planned it.
+		broken := sample
+		broken.ID, broken.Definition.Steps = "00000000000000b1", []job.Step{{Tasks: 1, After: []int{5}}}
+		encoded, err := jobstore.EncodeJob(broken)
+		Expect(err).NotTo(HaveOccurred())
+		write("p1", jobs.JobTable(), string(broken.ID), encoded)
+		write("p2", jobs.JobTable(), "00000000000000b2", []byte{0xff})
+		// A job whose progress is unknown may have ended tasks, so none of it may start.
+		started := sample
+		started.ID = "00000000000000b3"
+		encoded, err = jobstore.EncodeJob(started)
+		Expect(err).NotTo(HaveOccurred())
+		write("p3", jobs.JobTable(), string(started.ID), encoded)
+		write("leader-0", "progress", string(started.ID), []byte{0xff})
+		write("leader-0", "workers", "i-9", []byte{0xff})
+		var unreadable []string
+		jobs.OnUnreadableRow = func(key string, _ error) { unreadable = append(unreadable, key) }
+		loaded, _, err := jobs.Load(ctx, 0)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(loaded.Jobs).To(HaveLen(1))
+		Expect(loaded.Jobs[0].ID).To(Equal(sample.ID))
+		Expect(loaded.Workers).To(ConsistOf(job.Worker{ID: "i-9"}))
+		Expect(unreadable).To(ConsistOf("00000000000000b1", "00000000000000b2", "00000000000000b3", "i-9"))
+	})
+
 	It("loads what was accepted, cancelled and saved", func() {
 		Expect(accept()).To(BeTrue())
 		Expect(jobs.Cancel(ctx, sample.ID)).To(BeTrue())
--- a/jobstore/shards_test.go
+++ b/jobstore/shards_test.go
@@ -33,7 +33,7 @@
 		for shard := range 2 {
 			jobs := jobstore.New(client, shard)
 			id := job.ID([]string{"00000000000000a0", "00000000000000a1"}[shard])
-			encoded, err := jobstore.EncodeJob(job.Job{ID: id, Queue: "q"})
+			encoded, err := jobstore.EncodeJob(job.Job{ID: id, Queue: "q", Definition: job.Definition{Steps: []job.Step{{Tasks: 1}}}})
 			Expect(err).NotTo(HaveOccurred())
 			_, err = jobs.Accept(ctx, jobs.Homes(id)[0], id, encoded)
 			Expect(err).NotTo(HaveOccurred())
