--- a/measure/capacity.go
+++ b/measure/capacity.go
@@ -78,7 +78,7 @@
 ## On the users' platform
 
 The figures above are those of the project's own cell. The program for the users'
-platform divides a large fleet into shards of about 300 workers with a leader each;
+platform divides a large fleet into shards of 240 to 480 workers with a leader each;
 docs/platform.md, section "Scale", has its measured load up to 300 instances and
 3,000 workers. Carried on to 35,000 workers on 3,500 instances, by the same ratio
 of ten workers to an instance; nothing of this table was played:
