dispatch: urgent tasks avoid reserved workers while others have room

Cause: checks may take reserved capacity at any time, and the tightest place was chosen without regard to reservations.

Change: a penalty in the score of a place that is reserved for another step.

--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -363,6 +363,9 @@
 	ticketPenalty     = 1
 	unreliablePenalty = 1
 	servicePenalty    = 1
+	// reservedPenalty applies to urgent tasks, which may take reserved capacity. A check on each
+	// second worker kept wide gangs from finding enough workers that are free together.
+	reservedPenalty = 1
 )
 
 // scorePlace scores a place; lower is better. The tightest fit is best, and places near the
@@ -386,6 +389,9 @@
 	if w.unreliable {
 		l.score += unreliablePenalty
 	}
+	if w.reservedFor != nil && w.reservedFor != s {
+		l.score += reservedPenalty
+	}
 	if s.step.Fills && w.worstTailRatio() > 0 {
 		l.score += servicePenalty
 	}
