operator: a credentials file is read again after a read that failed

Cause: the file counted as read before it was read. After one failed read, a token that the file no longer contained stayed valid until the file changed again.

Change: only a read that succeeded is remembered.

--- a/operator/credentials.go
+++ b/operator/credentials.go
@@ -84,13 +84,14 @@
 	if os.SameFile(info, c.fileInfo) && info.ModTime().Equal(c.fileInfo.ModTime()) && info.Size() == c.fileInfo.Size() {
 		return
 	}
-	c.fileInfo = info
 	teams, err := readCredentials(c.path)
 	if err != nil {
+		// The file counts as unread, so that the next check reads it again: a token that was
+		// withdrawn must not stay valid because of one failed read.
 		logevent.CredentialsNotReloaded.Log(c.log, zap.Error(err))
 		return
 	}
-	c.teams = teams
+	c.teams, c.fileInfo = teams, info
 	logevent.CredentialsReloaded.Log(c.log, zap.Int("tokens", len(teams)))
 }
 
