--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -11,6 +11,8 @@
 // its worth, according to the users' documentation. After that it earns nothing.
 const maxLatenessFactor = 3
 
+const milliPerCore = 1000
+
 // stepsPerReplan is the number of completed steps of a queue after which its jobs are planned
 // again.
 const stepsPerReplan = 8
@@ -26,9 +28,10 @@
 
 // candidate is a waiting step with its sort keys for the service order.
 type candidate struct {
-	step     *stepState
-	grade    grade
-	deadline time.Time
+	step                *stepState
+	grade               grade
+	deadline            time.Time
+	remainingCPUSeconds float64 // expected core-seconds until the occurrence is complete
 }
 
 // plan computes the objective of a job and the remaining time from each of its steps. Both
@@ -91,12 +94,17 @@
 	case expectedEnd.After(c.deadline):
 		c.grade = gradeLate
 	}
+	if c.grade != gradeInTime {
+		for _, o := range s.occurrence.steps {
+			c.remainingCPUSeconds += float64(o.tasksLeft) * float64(o.step.Demand.MilliCPU) * o.expectedLength().Seconds() / milliPerCore
+		}
+	}
 	return c
 }
 
 // sortCandidates sorts the waiting steps: jobs that can be in time come first, then by
-// priority, then by deadline. Late jobs come in the order of their age: with those of the least
-// work first, wide gangs that had become late were served half as often as others.
+// priority, then by deadline. Late jobs all earn the same fraction of their worth, so those
+// with the least remaining work come first.
 func (r *Reducer) sortCandidates() []candidate {
 	list := r.advice.candidates[:0]
 	for s := range r.waitingSteps {
@@ -115,10 +123,8 @@
 		if p, q := a.step.job.queue.Priority, b.step.job.queue.Priority; p != q {
 			return compare(p, q)
 		}
-		if a.grade != gradeInTime {
-			if n := a.step.dueTime().Compare(b.step.dueTime()); n != 0 {
-				return n
-			}
+		if a.grade != gradeInTime && a.remainingCPUSeconds != b.remainingCPUSeconds {
+			return compare(a.remainingCPUSeconds, b.remainingCPUSeconds)
 		}
 		if n := a.deadline.Compare(b.deadline); n != 0 {
 			return n
