--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -363,8 +363,8 @@
 	ticketPenalty     = 1
 	unreliablePenalty = 1
 	servicePenalty    = 1
-	// reservedPenalty applies to urgent tasks, which may take reserved capacity. A check on each
-	// second worker kept wide gangs from finding enough workers that are free together.
+	// reservedPenalty applies to tasks that may take capacity reserved for another step: urgent
+	// ones, and those that end before it is needed.
 	reservedPenalty = 1
 )
 
--- a/shardmap/shardmap.go
+++ b/shardmap/shardmap.go
@@ -24,9 +24,8 @@
 )
 
 const (
-	// workersPerProcessor is how many workers one whole processor serves as a leader. Behind
-	// with 540 workers, a leader with 0.8 of a processor started 500 to 750 of 780 tasks a
-	// second; with 350 workers it kept up with 900.
+	// workersPerProcessor is how many workers a leader with one whole processor serves
+	// (docs/platform.md, section "Scale").
 	workersPerProcessor = 500
 	// minWorkersPerShard is the minimum number of workers of each pool in a shard. With
 	// fewer, wide gangs would wait forever, since advice allows them only a third of the
@@ -55,9 +54,10 @@
 // planned, and the map lasts for the life of the fleet.
 func Plan(workers []job.Worker, processorShare float64) *Map {
 	type rack struct{ pool, dataCentre, name string }
+	type rackPool struct{ rack, pool string } // the machines of a rack may be in several pools
 	racks := map[string]rack{}
-	sizes := map[string]int{}        // of the racks
-	largestRacks := map[string]int{} // by pool
+	sizes := map[rackPool]int{}
+	largestSizes := map[string]int{} // by pool
 	pools := map[string]int{}        // workers
 	for i := range workers {
 		w := &workers[i]
@@ -65,12 +65,13 @@
 			pools[w.Pool]++
 			continue
 		}
+		key := rackPool{w.Rack, w.Pool}
 		racks[w.Rack] = rack{w.Pool, string(w.DataCentre), w.Rack}
-		sizes[w.Rack]++
-		largestRacks[w.Pool] = max(largestRacks[w.Pool], sizes[w.Rack])
+		sizes[key]++
+		largestSizes[w.Pool] = max(largestSizes[w.Pool], sizes[key])
 	}
-	for _, r := range racks {
-		pools[r.pool] += largestRacks[r.pool]
+	for key := range sizes {
+		pools[key.pool] += largestSizes[key.pool]
 	}
 	total := 0
 	shards := maxShards
--- a/shardmap/shardmap_test.go
+++ b/shardmap/shardmap_test.go
@@ -31,6 +31,14 @@
 	return all
 }
 
+// shareRacks puts the workers of a second pool into the racks of the first.
+func shareRacks(first, second []job.Worker) []job.Worker {
+	for i := range second {
+		second[i].Rack = first[i*len(first)/len(second)].Rack
+	}
+	return append(first, second...)
+}
+
 var _ = Describe("Plan", func() {
 	const large, small = 0.8, 0.4 // shares of a processor
 	cases := []struct {
@@ -55,6 +63,7 @@
 		{"the largest fleet of the design", newFleet("a", 35000, 20), large, 64},
 		// A shard without workers of a pool could never run the pool's jobs.
 		{"a small pool beside a large one", append(newFleet("a", 2800, 20), newFleet("b", 40, 8)...), large, 1},
+		{"two pools in the same racks", shareRacks(newFleet("a", 2800, 20), newFleet("b", 740, 5)), large, 3},
 		{"a pool that limits the number of shards", append(newFleet("a", 2800, 20), newFleet("b", 740, 20)...), large, 3},
 	}
 	for _, c := range cases {
