dispatch: gangs without reserved workers keep all their tickets valid

Since only tickets of reserved workers were refreshed.

Change: of the first three blocked steps without reserved workers all tickets are refreshed, as before. A gang chooses among places with valid tickets if they have room for it.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -21,6 +21,7 @@
 	adviceRetryDelay  = 100 * time.Millisecond  // after a failed call
 	widenDelay        = 700 * time.Millisecond  // a step that waits longer requests advice on more workers
 	widenInterval     = 150 * time.Millisecond  // between two searches for more workers
+	maxRefreshedSteps = 3                       // blocked steps without reserved workers whose tickets are kept valid
 	refreshWindow     = 700 * time.Millisecond  // tickets that expire within this time are refreshed
 )
 
@@ -206,6 +207,7 @@
 	// the next.
 	selectedLanes := map[advicelane.Class]*advicelane.Lane{}
 	for _, purpose := range callPurposes {
+		refreshed := 0
 		for _, c := range r.advice.candidates {
 			s := c.step
 			if !s.job.queue.RequiresAdvice || s.complete() || s.job.closed() || r.now.Before(s.advice.retryAt) {
@@ -215,6 +217,12 @@
 			if fullClasses[class] || !r.mayCall(s, purpose, class) {
 				continue
 			}
+			if purpose == purposeRefresh && !r.hasReservedWorkers(s) {
+				if refreshed == maxRefreshedSteps {
+					continue
+				}
+				refreshed++
+			}
 			l := selectedLanes[class]
 			if l == nil {
 				l = r.advice.lanes.SelectLane(class, r.now)
@@ -411,17 +419,26 @@
 // fewer workers than that asks for more without widenDelay.
 const fewAskedDivisor = 4
 
-// workersToRefresh returns the workers that are reserved for a blocked step, if they are
-// expected to have capacity while new tickets are valid and one of the tickets expires soon.
+// hasReservedWorkers reports whether workers are reserved for a blocked step.
+func (r *Reducer) hasReservedWorkers(s *stepState) bool {
+	return slices.ContainsFunc(s.advice.tickets, func(t ticket) bool { return t.worker.reservedFor == s })
+}
+
+// workersToRefresh returns the workers whose tickets are kept valid for a blocked step, if one of
+// the tickets expires soon: those that are reserved for the step, if new tickets will be valid
+// when they are expected to have capacity, or all if none is reserved.
 func (r *Reducer) workersToRefresh(s *stepState) []job.WorkerID {
 	var ids []job.WorkerID
-	stale := false
+	stale, reserved := false, r.hasReservedWorkers(s)
 	var freeAt time.Time
 	for i := range s.advice.tickets {
 		t := &s.advice.tickets[i]
-		if t.worker.reservedFor == s && t.worker.acceptsRuns && s.isEligible(t.worker) {
-			ids = append(ids, t.worker.registration.ID)
-			stale = stale || r.now.Add(refreshWindow).After(t.expires)
+		if reserved && t.worker.reservedFor != s || !t.worker.acceptsRuns || !s.isEligible(t.worker) {
+			continue
+		}
+		ids = append(ids, t.worker.registration.ID)
+		stale = stale || r.now.Add(refreshWindow).After(t.expires)
+		if reserved {
 			freeAt = t.worker.reservedUntil
 		}
 	}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -273,6 +273,7 @@
 		return nil
 	}
 	if s.step.Gang {
+		p.keepValidTickets(s, missing)
 		p.keepEvenPlaces(s, missing)
 	}
 	for i := range p.places {
@@ -343,6 +344,22 @@
 	return true
 }
 
+// keepValidTickets keeps only the places with valid tickets if they have capacity for all tasks.
+// The most even places change with each task that ends elsewhere. If a gang chose these, it would
+// need other tickets each time that the ones it had asked for arrive.
+func (p *pass) keepValidTickets(s *stepState, missing int) {
+	hasTicket := func(l place) bool { return l.ticket == nil || l.ticket.valid(p.now) }
+	capacity := 0
+	for i := range p.places {
+		if hasTicket(p.places[i]) {
+			capacity += s.taskCapacity(&p.places[i])
+		}
+	}
+	if capacity >= missing {
+		p.places = slices.DeleteFunc(p.places, func(l place) bool { return !hasTicket(l) })
+	}
+}
+
 // bestPlace returns the index of the place with the lowest score, or -1.
 func (p *pass) bestPlace() int {
 	best := -1
