--- a/review/harness/scenarios.go
+++ b/review/harness/scenarios.go
@@ -236,7 +236,7 @@
 	const (
 		jobCount, width = 24, 5
 		meanLife        = 15 * time.Second
-		playTime        = 75 * time.Second
+		playTime        = 95 * time.Second
 		// LOST holds for each task that lasts from 6 s after its last run.
 		graceTime = 6 * time.Second
 	)
