review: the check of TWICE has the rule's excuse, and cases clean up on signals

Cause: RULES.md does not count an end as taken note of if the runner's lease lapsed before LastSeen reached it; the check did. A restart of an instance could fall together with the end of a case and leave a process to the kernel's signal on the death of its parent.

Change: ends whose runner's lease has lapsed no longer count. An instance is not started again once the case ends. The harness ends all processes on SIGTERM, SIGINT and SIGHUP and after 118 s, with exit code 2.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -2,4 +2,4 @@
 # Plays this case; see claim.txt. With TROUBLE=0 it leaves out the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/harness ] && [ -x target/fuchsiacross-instance ] || exit 2
-target/harness removed-route review/3
+exec target/harness removed-route review/3
--- a/review/harness/instance.go
+++ b/review/harness/instance.go
@@ -33,10 +33,10 @@
 	settings  string // path
 	words     []string
 
-	mu       sync.Mutex
-	command  *exec.Cmd
-	exited   chan struct{}
-	restarts bool
+	mu      sync.Mutex
+	command *exec.Cmd
+	exited  chan struct{}
+	ended   bool // it is not started again
 }
 
 var (
@@ -102,6 +102,9 @@
 func (i *instance) start() error {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	if i.ended {
+		return nil
+	}
 	log, err := os.OpenFile(filepath.Join(i.platform.directory, i.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -116,14 +119,14 @@
 		return err
 	}
 	exited := make(chan struct{})
-	i.command, i.exited, i.restarts = command, exited, true
+	i.command, i.exited = command, exited
 	go i.watchMemory(command, exited)
 	go func() {
 		_ = command.Wait()
 		close(exited)
 		time.Sleep(restartDelay)
 		i.mu.Lock()
-		again := i.restarts && i.command == command && i.platform.ctx.Err() == nil
+		again := !i.ended
 		i.mu.Unlock()
 		if again {
 			i.platform.record.note("platform: %s is started again", i.name)
@@ -186,10 +189,10 @@
 	i.platform.record.note("platform: the machine of %s wakes again", i.name)
 }
 
-// end kills the process for good.
+// end kills the process for good. A later start does nothing.
 func (i *instance) end() {
 	i.mu.Lock()
-	i.restarts = false
+	i.ended = true
 	command, exited := i.command, i.exited
 	i.mu.Unlock()
 	if command != nil {
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -15,7 +15,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
+	"time"
 )
 
 const (
@@ -30,6 +33,24 @@
 // scenario plays a case and returns what broke the rule.
 type scenario func(p *platform, trouble bool) (broken []string, err error)
 
+// maxPlayTime is the longest time that a case may take.
+const maxPlayTime = 118 * time.Second
+
+// closeEarly ends all processes of the case, and the harness, on a signal or when the case
+// takes too long.
+func closeEarly(p *platform) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	select {
+	case s := <-signals:
+		p.record.note("the case is ended by signal %q", s)
+	case <-time.After(maxPlayTime):
+		p.record.note("the case takes more than %s", maxPlayTime)
+	}
+	p.close()
+	os.Exit(exitError)
+}
+
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(args []string) int {
@@ -52,6 +73,7 @@
 		return exitError
 	}
 	defer p.close()
+	go closeEarly(p)
 	broken, err := scenarios[args[0]](p, trouble)
 	if err != nil {
 		record.note("the case could not run: %v", err)
--- a/review/harness/record.go
+++ b/review/harness/record.go
@@ -17,7 +17,8 @@
 	startedAt    time.Time
 	endedAt      time.Time // zero while it runs
 	end          string    // how it ended
-	notedAt      time.Time // when LastSeen reached its end; zero before
+	lapsed       bool      // the runner's lease lapsed after the end, before LastSeen reached it
+	notedAt      time.Time // when LastSeen reached its end; zero before, and for good if lapsed
 }
 
 // record writes what was sent, answered and run to a file, and keeps all runs.
@@ -63,7 +64,17 @@
 func (r *record) noted(t *taskRun) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	t.notedAt = time.Now()
+	if !t.lapsed {
+		t.notedAt = time.Now()
+	}
+}
+
+// lapse records that the lease of an ended run's runner has lapsed. Its end no longer counts
+// as taken note of.
+func (r *record) lapse(t *taskRun) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t.lapsed = true
 }
 
 // attempts returns how many runs a task has had.
@@ -111,7 +122,8 @@
 
 // twice returns the tasks whose names begin with prefix and that break TWICE: two runs at
 // the same time, or a start after a run has ended done whose end was taken note of then or
-// later. It names the first such pair of runs of each task.
+// later. An end is not taken note of if the runner's lease lapsed before. It names the first such
+// pair of runs of each task.
 func (r *record) twice(prefix string) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -187,3 +199,20 @@
 	}
 	return false
 }
+
+// failures returns the largest number of failed runs that a task of a job has had.
+func (r *record) failures(id string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	most := 0
+	for task, runs := range r.runs {
+		failed := 0
+		for _, run := range runs {
+			if strings.HasPrefix(task, id+".") && run.end == "failed" {
+				failed++
+			}
+		}
+		most = max(most, failed)
+	}
+	return most
+}
--- a/review/harness/runner.go
+++ b/review/harness/runner.go
@@ -109,15 +109,25 @@
 	for r.platform.ctx.Err() == nil {
 		time.Sleep(leaseCheck)
 		r.mu.Lock()
-		if time.Now().After(r.leaseEnd) {
-			for _, run := range r.running {
-				r.finish(run, "lapsed")
-			}
-		}
+		r.expireLease()
 		r.mu.Unlock()
 	}
 }
 
+// expireLease ends all runs if the lease has lapsed. The ends that have not been taken note of
+// no longer count as such. r.mu is held.
+func (r *runner) expireLease() {
+	if !time.Now().After(r.leaseEnd) {
+		return
+	}
+	for _, run := range r.running {
+		r.finish(run, "lapsed")
+	}
+	for _, e := range r.ended {
+		r.platform.record.lapse(e.run)
+	}
+}
+
 // clock returns the time of the runner's own clock in milliseconds.
 func (r *runner) clock() int64 { return time.Since(r.born).Milliseconds() + 1 }
 
@@ -183,6 +193,7 @@
 	if !ok {
 		return
 	}
+	r.expireLease()
 	step := o.Task[:max(0, strings.LastIndexByte(o.Task, '.'))]
 	switch {
 	case o.Deadline <= r.clock():
@@ -256,6 +267,7 @@
 	if !ok {
 		return
 	}
+	r.expireLease()
 	r.extendLease(o.Deadline)
 	for len(r.ended) > 0 && r.ended[0].number <= o.LastSeen {
 		r.platform.record.noted(r.ended[0].run)
