dispatch: take a worker's list of ends for complete only if it is

Cause: a worker lists its oldest 500 ends at a time, and the leader took each reading for the whole. A task whose end was not listed counted as idle for a new leader, and as missing for the leader that had ordered it.

Evidence: event 834 follows a reading of 500 ends, and the starts follow it.

Change: a reading tells whether there may be more ends. Until all have been listed, a new leader starts no task that a predecessor may have started, and no run counts as missing. Ends of jobs that are not known yet hold back no other ends any more, and are applied when their job becomes known. The stand-in of the runners lists 500 ends at a time, as the platform does.

--- a/dispatch/adopt.go
+++ b/dispatch/adopt.go
@@ -36,7 +36,8 @@
 	}
 }
 
-// adoptOrphans takes over the orphaned runs of a job that has become known.
+// adoptOrphans takes over the orphaned runs of a job that has become known, and applies the
+// ends that are waiting for it.
 func (r *Reducer) adoptOrphans(j *jobState) {
 	for _, w := range r.sortedWorkers {
 		for key, orphan := range w.orphans {
@@ -45,6 +46,11 @@
 				r.adoptRun(w, orphan.running)
 			}
 		}
+		for _, end := range w.unknownEnds {
+			if end.Task.Job == j.job.ID {
+				r.handleEnd(w, end)
+			}
+		}
 	}
 	if r.predecessorWasSettled {
 		r.stopPartialGangsOf(j)
--- a/dispatch/fakeworker_test.go
+++ b/dispatch/fakeworker_test.go
@@ -34,6 +34,9 @@
 	pace         float64 // permanent factor on the length of runs, by hardware; zero means 1
 }
 
+// maxListedEnds is how many ends a worker lists at a time.
+const maxListedEnds = 500
+
 // fakeRun is a run on a fakeWorker.
 type fakeRun struct {
 	order             dispatch.StartRun
@@ -301,7 +304,10 @@
 	sentAt, term := sim.now, sim.term
 	w := sim.workers[r.Worker.ID]
 	answer := func() {
-		reading := job.WorkerSnapshot{Clock: w.clock(sim), StartTime: w.startTime, Ended: slices.Clone(w.endedRuns)}
+		reading := job.WorkerSnapshot{
+			Clock: w.clock(sim), StartTime: w.startTime, Ended: slices.Clone(w.endedRuns[:min(len(w.endedRuns), maxListedEnds)]),
+			MoreEnds: len(w.endedRuns) >= maxListedEnds,
+		}
 		for _, run := range w.running {
 			running := job.ActiveRun{
 				Task: run.order.Task, Run: run.order.Run, Percent: run.percent(sim.now), Checkpoint: run.checkpoint(sim.now),
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -62,7 +62,7 @@
 // count even while their registrations are missing, as after an outage of the store.
 func (r *Reducer) predecessorSettled() bool {
 	for _, w := range r.sortedWorkers {
-		if !w.wasRead && r.mayHavePredecessorRuns(w) {
+		if !w.wasListed && r.mayHavePredecessorRuns(w) {
 			return false
 		}
 	}
@@ -74,17 +74,23 @@
 func (r *Reducer) notePredecessorSettled() {
 	unread := 0
 	for _, w := range r.sortedWorkers {
-		if !w.wasRead {
+		if !w.wasListed {
 			unread++
 		}
 	}
 	r.addNote(Note{Kind: NotePredecessorRunsSettled, Detail: fmt.Sprintf("%d of %d workers not read", unread, len(r.sortedWorkers)), Age: r.now.Sub(r.workersListedAt)})
 }
 
-// mayHavePredecessorRuns reports whether runs of a predecessor may continue on a worker that
-// has not been read.
+// mayHavePredecessorRuns reports whether runs of a predecessor may continue, or may have ended
+// in time, on a worker whose runs have not all been listed.
 func (r *Reducer) mayHavePredecessorRuns(w *worker) bool {
-	if r.loaded && !w.inherited || !r.now.Before(r.predecessorRunsUntil) {
+	if r.loaded && !w.inherited {
+		return false
+	}
+	if w.moreEnds && !(w.unreachable && r.now.After(w.leaseEnd)) {
+		return true
+	}
+	if !r.now.Before(r.predecessorRunsUntil) {
 		return false
 	}
 	return w.registered || !r.workersListed || r.now.Sub(r.workersListedAt) < registrationTimeout
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -17,10 +17,13 @@
 	used           model.Resources
 	runs           map[runKey]*run
 	startTime      int64
-	clock          int64     // latest reading of its clock, in milliseconds
-	clockAt        time.Time // when that reading arrived; zero before the first
-	wasRead        bool      // with this leader's token
-	leaseEnd       time.Time // until when its runs may continue, by the leader's clock
+	clock          int64          // latest reading of its clock, in milliseconds
+	clockAt        time.Time      // when that reading arrived; zero before the first
+	wasRead        bool           // with this leader's token
+	wasListed      bool           // a reading has listed all its runs, active and ended
+	moreEnds       bool           // the last reading left ends out
+	unknownEnds    []job.EndedRun // of jobs that are not known, in the last reading
+	leaseEnd       time.Time      // until when its runs may continue, by the leader's clock
 	health         health
 	pace           pace
 	fillerThrottle fillerThrottle
@@ -108,7 +111,7 @@
 // either, its state is dropped. A worker that this leader has not read may still have runs of
 // a predecessor and is kept for a while.
 func (r *Reducer) dropIfUnused(w *worker) {
-	if !w.unreachable || len(w.runs) > 0 || w.processedEnd != w.savedEnd || !w.wasRead && r.mayHavePredecessorRuns(w) {
+	if !w.unreachable || len(w.runs) > 0 || w.processedEnd != w.savedEnd || !w.wasListed && r.mayHavePredecessorRuns(w) {
 		return
 	}
 	if w.enrolled {
@@ -247,21 +250,29 @@
 	}
 	slices.SortFunc(e.Reading.Ended, func(a, b job.EndedRun) int { return compare(a.Number, b.Number) })
 	delay := endsReadDelay
+	w.unknownEnds = nil
 	for _, end := range e.Reading.Ended {
 		if end.Number <= w.processedEnd {
 			continue
 		}
 		if r.jobs[end.Task.Job] == nil && r.now.Sub(r.loadedAt) < orphanTimeout {
-			// The worker would forget the end before its job is known.
-			delay = unknownJobReadDelay
-			break
+			// The worker would forget the end before its job is known. Later ends are applied
+			// with each reading until then.
+			w.unknownEnds = append(w.unknownEnds, end)
+			continue
+		}
+		if w.unknownEnds == nil {
+			w.processedEnd = end.Number
 		}
-		w.processedEnd = end.Number
 		r.handleEnd(w, end)
 	}
+	if w.unknownEnds != nil {
+		delay = unknownJobReadDelay
+	}
+	w.moreEnds = e.Reading.MoreEnds
 	r.reconcileRuns(w, e)
 	r.throttleFillers(w)
-	w.wasRead = true
+	w.wasRead, w.wasListed = true, w.wasListed || !w.moreEnds
 	if w.processedEnd > w.savedEnd && len(r.unsavedJobs) == 0 && r.saveMarks == nil {
 		// None of the ends changed the durable state.
 		w.savedEnd = w.processedEnd
@@ -335,6 +346,10 @@
 			delete(w.orphans, key)
 		}
 	}
+	if e.Reading.MoreEnds {
+		// A run that is not listed may have ended.
+		return
+	}
 	for key, run := range w.runs {
 		if listed[key] {
 			continue
--- a/job/job.go
+++ b/job/job.go
@@ -284,6 +284,7 @@
 	StartTime int64 // of the worker's incarnation
 	Running   []ActiveRun
 	Ended     []EndedRun
+	MoreEnds  bool      // Ended lists only the oldest ends
 	Rejection Rejection // empty unless the token was refused
 }
 
