jobstore, dispatch: store the policy of its queue with each job

Cause: a stored job named its queue only. A leader that had never seen the configuration with the queue took a default of one attempt and no advice.

Evidence: starts without a ticket are rejected over and over after the claim (event 851), and jobs end as failed after one end (843).

Change: the row of a job holds the policy at its acceptance, which applies while the queue is not configured. Any leader has it, since it reads the row before it starts a task of the job.

--- a/dispatch/accept.go
+++ b/dispatch/accept.go
@@ -155,12 +155,16 @@
 	r.jobs[j.ID] = r.newJobState(j)
 }
 
-// newJobState returns the state of a job under the policy of its queue.
+// newJobState returns the state of a job under the policy of its queue. If the queue was
+// removed from the configuration, the policy that the job was accepted with stays in force.
 func (r *Reducer) newJobState(j job.Job) *jobState {
 	q, known := r.queues[j.Queue]
-	if !known {
-		// The queue was removed from the configuration: its jobs continue with one attempt per
-		// task.
+	switch {
+	case known:
+	case j.Policy != nil:
+		q = *j.Policy
+	default:
+		// The job was stored by a version that did not store the policy of its queue.
 		q = job.Queue{Name: j.Queue, Pool: j.Pool, MaxAttempts: 1, Priority: lowestPriority, Stretch: 1}
 	}
 	f := r.forecasts[j.Queue]
@@ -173,5 +177,5 @@
 	return s
 }
 
-// lowestPriority applies to jobs whose queue is no longer configured.
+// lowestPriority applies to jobs whose queue's policy is unknown.
 const lowestPriority = 9
--- a/job/job.go
+++ b/job/job.go
@@ -169,6 +169,9 @@
 	AcceptedAt time.Time
 	Version    int64 // of its row in the store; zero if it is not known to be stored
 	Definition Definition
+	// Policy is the queue at the time of acceptance. It applies once the queue is no longer
+	// configured. Jobs that were stored by earlier versions have none.
+	Policy *Queue
 }
 
 // Queue is the operator's policy for the jobs of one route, a host and a path prefix.
--- a/jobstore/codec.go
+++ b/jobstore/codec.go
@@ -25,6 +25,43 @@
 	FirstDueMilliseconds int64      `cbor:"7,keyasint,omitempty"`
 	IntervalMilliseconds int64      `cbor:"8,keyasint,omitempty"`
 	ID                   string     `cbor:"9,keyasint"`
+
+	Policy *wirePolicy `cbor:"10,keyasint,omitempty"`
+}
+
+// wirePolicy is the policy of a job's queue. Host and prefix of the queue only concern its
+// requests.
+type wirePolicy struct {
+	Priority                 int64   `cbor:"1,keyasint,omitempty"`
+	MaxAttempts              int64   `cbor:"2,keyasint"`
+	Stretch                  float64 `cbor:"3,keyasint,omitempty"`
+	LatencyMilliseconds      int64   `cbor:"4,keyasint,omitempty"`
+	RequiresAdvice           bool    `cbor:"5,keyasint,omitempty"`
+	AdviceCallMilliseconds   float64 `cbor:"6,keyasint,omitempty"`
+	AdviceWorkerMilliseconds float64 `cbor:"7,keyasint,omitempty"`
+	TicketMilliseconds       float64 `cbor:"8,keyasint,omitempty"`
+}
+
+func encodePolicy(q *job.Queue) *wirePolicy {
+	if q == nil {
+		return nil
+	}
+	return &wirePolicy{
+		Priority: q.Priority, MaxAttempts: q.MaxAttempts, Stretch: q.Stretch, LatencyMilliseconds: q.LatencyMilliseconds,
+		RequiresAdvice: q.RequiresAdvice, AdviceCallMilliseconds: q.AdviceCallMilliseconds,
+		AdviceWorkerMilliseconds: q.AdviceWorkerMilliseconds, TicketMilliseconds: q.TicketMilliseconds,
+	}
+}
+
+func decodePolicy(w *wirePolicy, j *job.Job) *job.Queue {
+	if w == nil {
+		return nil
+	}
+	return &job.Queue{
+		Name: j.Queue, Pool: j.Pool, Priority: w.Priority, MaxAttempts: w.MaxAttempts, Stretch: w.Stretch, LatencyMilliseconds: w.LatencyMilliseconds,
+		RequiresAdvice: w.RequiresAdvice, AdviceCallMilliseconds: w.AdviceCallMilliseconds,
+		AdviceWorkerMilliseconds: w.AdviceWorkerMilliseconds, TicketMilliseconds: w.TicketMilliseconds,
+	}
 }
 
 type wireStep struct {
@@ -75,6 +112,7 @@
 	w := wireJob{
 		ID: string(j.ID), Queue: j.Queue, Pool: j.Pool, AcceptedAt: j.AcceptedAt.UnixMilli(), Spec: d.Spec,
 		Occurrences: d.Occurrences, FirstDueMilliseconds: d.FirstDueMilliseconds, IntervalMilliseconds: d.IntervalMilliseconds,
+		Policy: encodePolicy(j.Policy),
 	}
 	for i := range d.Steps {
 		s := &d.Steps[i]
@@ -106,6 +144,7 @@
 			FirstDueMilliseconds: w.FirstDueMilliseconds, IntervalMilliseconds: w.IntervalMilliseconds,
 		},
 	}
+	j.Policy = decodePolicy(w.Policy, &j)
 	for _, ws := range w.Steps {
 		s := job.Step{
 			Tasks: ws.Tasks, EstimateMilliseconds: ws.EstimateMilliseconds, After: ws.After,
--- a/jobstore/jobstore_test.go
+++ b/jobstore/jobstore_test.go
@@ -30,6 +30,10 @@
 	ctx := context.Background()
 	sample := job.Job{
 		ID: "5c0e7a21d94b36f8", Queue: "q", Pool: "p", AcceptedAt: time.UnixMilli(1_700_000_000_123),
+		Policy: &job.Queue{
+			Name: "q", Pool: "p", Priority: 2, MaxAttempts: 4, Stretch: 1.5, LatencyMilliseconds: 300,
+			RequiresAdvice: true, AdviceCallMilliseconds: 8, AdviceWorkerMilliseconds: 0.12, TicketMilliseconds: 2500,
+		},
 		Definition: job.Definition{
 			Spec: "spec", Occurrences: 3, FirstDueMilliseconds: 5, IntervalMilliseconds: 7,
 			Steps: []job.Step{
