dispatch: wait for the leases of workers without a registration

Cause: a new leader waited 2.5 s for enrolled workers without a registration, then took their runs for ended. A worker that loses the store seconds before it loses the instances has no registration, cannot be read, and works on until the lease that the former leader extended has expired.

Change: a missing registration shortens no wait. The wait begins when the claim is sent, since the predecessor confirmed nothing later.

That this is the cause on the users' machines is suspected and stays listed.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -416,6 +416,29 @@
 		Expect(sim.violations).To(BeEmpty())
 	})
 
+	// A worker that lost the store, and the instances some seconds later, has no registration
+	// and answers no reading, but works until its lease expires. A new leader waited for 2.5 s
+	// only.
+	It("waits for the leases of unregistered workers that it cannot read", func() {
+		sim := newSimulation(3, 16, plain)
+		sim.advance(200 * time.Millisecond)
+		sim.submit(newJob(1, "plain", job.Step{Tasks: 6, Demand: demand(4, 4), EstimateMilliseconds: 3800}))
+		sim.advance(500 * time.Millisecond)
+		cut := sim.workers["w01"]
+		Expect(cut.running).NotTo(BeEmpty())
+		sim.orderDelay = func(id job.WorkerID) time.Duration {
+			if id == cut.worker.ID {
+				return time.Hour
+			}
+			return 0
+		}
+		cut.unregistered = true
+		sim.loseLeader(300 * time.Millisecond)
+		sim.advance(12 * time.Second)
+		Expect(state(sim, 1)).To(Equal(job.StateCompleted))
+		Expect(sim.violations).To(BeEmpty())
+	})
+
 	// A worker that is gone for good must not be read by every later leader.
 	It("unenrolls workers that are neither registered nor answering", func() {
 		sim := newSimulation(3, 16, plain)
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -90,18 +90,11 @@
 	if w.moreEnds && !(w.unreachable && r.now.After(w.leaseEnd)) {
 		return true
 	}
-	if !r.now.Before(r.predecessorRunsUntil) {
-		return false
-	}
-	return w.registered || !r.workersListed || r.now.Sub(r.workersListedAt) < registrationTimeout
+	// A missing registration proves nothing: a worker that has lost the store may still work
+	// for a predecessor.
+	return r.now.Before(r.predecessorRunsUntil)
 }
 
-// registrationTimeout is how long a new leader waits for a missing registration. Registrations
-// that expired in an outage of the store are back 2 s after it, according to the platform's
-// documentation. A worker that is cut off loses its registration after three heartbeats of 1.5
-// s; by the end of the timeout its lease has expired, too.
-const registrationTimeout = 2500 * time.Millisecond
-
 // pass is one iteration over the waiting steps. The cost of a step is proportional to the
 // number of workers that may run it, with or without free capacity.
 type pass struct {
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -92,7 +92,7 @@
 		ctx: ctx, cancel: cancel, members: map[string]*member{},
 	}
 	reducer := dispatch.New(dispatch.Options{
-		Token: l.token, ClaimedAt: claimedAt, PredecessorSuspectedAt: time.Now(), FirstLeader: previousVersion == 0,
+		Token: l.token, ClaimedAt: claimedAt, PredecessorSuspectedAt: claimedAt, FirstLeader: previousVersion == 0,
 		ClaimVersion: version, PredecessorVersion: previousVersion,
 		MaxHoldMilliseconds: i.settings.MaxHoldMilliseconds, StopTimeoutMilliseconds: i.settings.StopTimeoutMilliseconds,
 		RetentionSeconds: i.settings.RetentionSeconds, LeaderCount: s.table.shardMap.Shards,
