dispatch: name at most 100 workers in a call that renews tickets

Change: it names 100; the others follow in the next call.

Measured: the new test fails without the limit (the job stays running) and passes with it.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -326,7 +326,7 @@
 	limit := maxCallWorkers
 	switch purpose {
 	case purposeRenew:
-		return slices.Clone(s.advice.renew)
+		return slices.Clone(s.advice.renew[:min(len(s.advice.renew), maxCallWorkers)])
 	case purposeRefresh:
 		return r.workersToRefresh(s)
 	case purposeFirst:
--- a/dispatch/advice_test.go
+++ b/dispatch/advice_test.go
@@ -171,6 +171,22 @@
 		Expect(sim.violations).To(BeEmpty())
 	})
 
+	// The call that renewed the tickets of a wide step named all its workers, and the advice
+	// service refused it again and again.
+	It("renews the tickets of a step with more workers than a call may name", func() {
+		const workers, tasks = 180, 120
+		sim := newSimulation(workers, 16, plain, checks)
+		sim.allows = func(job.StepID, job.WorkerID) bool { return true }
+		sim.advance(200 * time.Millisecond)
+		sim.submit(newJob(1, "plain", job.Step{Tasks: workers, Demand: demand(16, 4), EstimateMilliseconds: 8000}))
+		sim.advance(time.Second)
+		sim.submit(newJob(2, "checks", job.Step{Tasks: tasks, MaxPerWorker: 1, Demand: demand(1, 1), EstimateMilliseconds: 500}))
+		sim.advance(12 * time.Second)
+		state, _ := sim.reducer.Status(id(2))
+		Expect(state).To(Equal(job.StateCompleted))
+		Expect(sim.violations).To(BeEmpty())
+	})
+
 	// An instance that no longer answered was sent one call for advice after another until its
 	// link was closed.
 	It("sends no further calls to a lane whose answers are overdue", func() {
--- a/dispatch/simulation_test.go
+++ b/dispatch/simulation_test.go
@@ -112,6 +112,8 @@
 	orderTimeout = 300 * time.Millisecond
 	readTimeout  = 500 * time.Millisecond
 	gigabyte     = 1 << 30
+	// maxCallWorkers is the number of workers that a call for advice may name.
+	maxCallWorkers = 100
 	// defaultLaneCount is the number of instances of the standard sites.
 	defaultLaneCount = 7
 )
@@ -430,6 +432,13 @@
 
 func (sim *simulation) executeAdviceCall(a dispatch.RequestAdvice, applyIfLeading func(any)) {
 	sim.callCount++
+	if len(a.Workers) > maxCallWorkers {
+		sim.addViolation("a call for advice names %d workers", len(a.Workers))
+		sim.schedule(networkDelay, func() {
+			applyIfLeading(dispatch.AdviceAnswered{Number: a.Number, Err: errors.New("too many workers")})
+		})
+		return
+	}
 	sim.calls = append(sim.calls, a)
 	var q job.Queue
 	for _, known := range sim.queues {
