dispatch: fence the orders to earlier lives of a worker

Cause: a worker that restarts forgets the fencing token and begins its clock anew. The leader gave up the runs of the earlier life at the first reading of the new one, while starts of them, or copies, were still on their way.

Change: a leader owns 256 tokens and orders with its next one at a worker that has restarted. It gives up the runs of the earlier life after a reading with that token; later arrivals are refused, earlier ones are listed.

--- a/dispatch/adopt.go
+++ b/dispatch/adopt.go
@@ -32,7 +32,7 @@
 	orphan.running = running
 	w.orphans[key] = orphan
 	if r.now.Sub(orphan.since) > orphanTimeout {
-		r.effects.Stops = append(r.effects.Stops, StopRun{Worker: w.registration, Task: running.Task, Run: running.Run})
+		r.effects.Stops = append(r.effects.Stops, StopRun{Worker: w.registration, Token: r.fence(w), Task: running.Task, Run: running.Run})
 	}
 }
 
@@ -71,7 +71,7 @@
 	}
 	task := &s.tasks[running.Task.Index]
 	adopted := &run{
-		task: running.Task, number: running.Run, step: s, worker: w,
+		task: running.Task, number: running.Run, token: r.fence(w), step: s, worker: w,
 		orderedAt: r.now, presentSince: r.now, resumed: true, // its start time is unknown
 		tailMilliseconds: running.TailMillisecondsOrMilliCPU, percentOfTime: paceUnknown,
 	}
--- a/dispatch/advice_test.go
+++ b/dispatch/advice_test.go
@@ -196,7 +196,7 @@
 		r.Apply(now, dispatch.ConfigurationChanged{Configuration: &job.Configuration{Queues: []job.Queue{checks}}},
 			dispatch.LanesChanged{Names: []string{"a"}}, dispatch.JobsLoaded{Workers: []job.Worker{w}}, dispatch.WorkersRead{},
 			dispatch.WorkerListed{Worker: w},
-			dispatch.WorkerReading{ID: "w", Reading: job.WorkerSnapshot{Clock: 1, StartTime: 1}})
+			dispatch.WorkerReading{ID: "w", Token: 1, Reading: job.WorkerSnapshot{Clock: 1, StartTime: 1}})
 		asked := 0
 		for n := range 100 {
 			now = now.Add(10 * time.Millisecond)
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -528,6 +528,44 @@
 		Expect(sim.violations).To(BeEmpty())
 	})
 
+	// A worker that restarts forgets the fencing token, so that it executed starts that its
+	// earlier incarnation had been sent, after their tasks had started elsewhere.
+	for _, test := range []struct {
+		name     string
+		answered bool
+		delay    time.Duration // until the start is executed
+	}{
+		{"fences the starts that an earlier incarnation of a worker did not answer", false, time.Second},
+		{"is not deposed by an answer to a start that it has fenced itself", true, 2 * time.Second},
+	} {
+		It(test.name, func() {
+			sim := newSimulation(2, 16, plain)
+			sim.advance(200 * time.Millisecond)
+			var restarted *fakeWorker
+			sim.started = func(s dispatch.StartRun) (bool, time.Duration) {
+				if restarted != nil {
+					return true, 0
+				}
+				restarted = sim.workers[s.Worker.ID]
+				return test.answered, test.delay
+			}
+			sim.taskLength = func(job.TaskID) time.Duration { return 3 * time.Second }
+			sim.submit(newJob(1, "plain", job.Step{Tasks: 1, Demand: demand(9, 4), EstimateMilliseconds: 3000}))
+			sim.advance(50 * time.Millisecond)
+			// The next reading is sent to the new incarnation.
+			restarted.answerPoll()
+			restarted.restart()
+			leaving := restarted.worker
+			leaving.Leaving = true
+			sim.apply(dispatch.WorkerListed{Worker: leaving})
+			sim.advance(8 * time.Second)
+			Expect(state(sim, 1)).To(Equal(job.StateCompleted))
+			Expect(sim.noteCounts[dispatch.NoteWorkerRestarted]).To(Equal(1))
+			Expect(sim.deposed).To(BeFalse())
+			Expect(sim.violations).To(BeEmpty())
+		})
+	}
+
 	It("stops the runs of a cancelled job and starts none", func() {
 		sim := newSimulation(4, 16, plain)
 		sim.submit(newJob(1, "plain", gang, single))
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -42,6 +42,7 @@
 	// the worker's address, which proves that the runs of this one have ended.
 	WorkerReading struct {
 		ID       job.WorkerID
+		Token    int64 // of the order
 		SentAt   time.Time
 		Reading  job.WorkerSnapshot
 		Replaced bool
@@ -51,6 +52,7 @@
 	// order and never will.
 	StartAnswered struct {
 		Worker      job.WorkerID
+		Token       int64 // of the order
 		Task        job.TaskID
 		Run         int64
 		Rejection   job.Rejection
@@ -61,6 +63,7 @@
 	// StopAnswered answers a StopRun.
 	StopAnswered struct {
 		Worker    job.WorkerID
+		Token     int64 // of the order
 		Task      job.TaskID
 		Run       int64
 		Rejection job.Rejection
@@ -69,6 +72,7 @@
 	// PaceAnswered answers a PaceRun.
 	PaceAnswered struct {
 		Worker    job.WorkerID
+		Token     int64 // of the order
 		Task      job.TaskID
 		Run       int64
 		Percent   int
@@ -125,6 +129,7 @@
 // clock.
 type StartRun struct {
 	Worker     job.Worker
+	Token      int64 // fencing token
 	Task       job.TaskID
 	Run        int64
 	Spec       string
@@ -136,6 +141,7 @@
 // StopRun stops a run.
 type StopRun struct {
 	Worker job.Worker
+	Token  int64
 	Task   job.TaskID
 	Run    int64
 }
@@ -143,6 +149,7 @@
 // PaceRun sets the percentage of the time that a run works.
 type PaceRun struct {
 	Worker  job.Worker
+	Token   int64
 	Task    job.TaskID
 	Run     int64
 	Percent int
@@ -152,6 +159,7 @@
 // worker's clock. A Deadline of zero extends no lease.
 type ReadWorker struct {
 	Worker          job.Worker
+	Token           int64
 	AcknowledgedEnd int64 // the worker forgets ends up to this number
 	Deadline        int64
 	LongPoll        bool // the worker delays its answer until a run ends
--- a/dispatch/fakeworker_test.go
+++ b/dispatch/fakeworker_test.go
@@ -67,7 +67,7 @@
 	if late := sim.orderDelay(s.Worker.ID); late > 0 {
 		sendAnswer, delay = false, late
 	}
-	answer := dispatch.StartAnswered{Worker: s.Worker.ID, Task: s.Task, Run: s.Run}
+	answer := dispatch.StartAnswered{Worker: s.Worker.ID, Token: s.Token, Task: s.Task, Run: s.Run}
 	if !sendAnswer {
 		sim.schedule(orderTimeout, func() {
 			answer.Err = errors.New("no answer")
@@ -264,7 +264,7 @@
 
 func (sim *simulation) executeStop(s dispatch.StopRun, token int64, applyIfLeading func(any)) {
 	w := sim.workers[s.Worker.ID]
-	answer := dispatch.StopAnswered{Worker: s.Worker.ID, Task: s.Task, Run: s.Run}
+	answer := dispatch.StopAnswered{Worker: s.Worker.ID, Token: s.Token, Task: s.Task, Run: s.Run}
 	if late := sim.orderDelay(s.Worker.ID); late > 0 {
 		sim.schedule(late, func() {
 			if !w.unreachable && token >= w.token {
@@ -323,7 +323,7 @@
 			delay += sim.firstReadDelay(r.Worker.ID)
 		}
 		sim.schedule(delay, func() {
-			applyIfLeading(dispatch.WorkerReading{ID: r.Worker.ID, SentAt: sentAt, Reading: reading})
+			applyIfLeading(dispatch.WorkerReading{ID: r.Worker.ID, Token: r.Token, SentAt: sentAt, Reading: reading})
 		})
 	}
 	wait := time.Duration(0)
@@ -335,19 +335,19 @@
 	}
 	if late := sim.orderDelay(r.Worker.ID); late > 0 {
 		sim.schedule(wait+readTimeout, func() {
-			applyIfLeading(dispatch.WorkerReading{ID: r.Worker.ID, SentAt: sentAt, Err: errors.New("no answer")})
+			applyIfLeading(dispatch.WorkerReading{ID: r.Worker.ID, Token: r.Token, SentAt: sentAt, Err: errors.New("no answer")})
 		})
 		return
 	}
 	sim.schedule(networkDelay, func() {
 		if w.unreachable {
 			sim.schedule(wait+readTimeout, func() {
-				applyIfLeading(dispatch.WorkerReading{ID: r.Worker.ID, SentAt: sentAt, Err: errors.New("no answer")})
+				applyIfLeading(dispatch.WorkerReading{ID: r.Worker.ID, Token: r.Token, SentAt: sentAt, Err: errors.New("no answer")})
 			})
 			return
 		}
 		if token < w.token {
-			applyIfLeading(dispatch.WorkerReading{ID: r.Worker.ID, SentAt: sentAt, Reading: job.WorkerSnapshot{Rejection: job.RejectedStaleToken}})
+			applyIfLeading(dispatch.WorkerReading{ID: r.Worker.ID, Token: r.Token, SentAt: sentAt, Reading: job.WorkerSnapshot{Rejection: job.RejectedStaleToken}})
 			return
 		}
 		w.token = token
@@ -367,7 +367,7 @@
 			done = true
 			if w.unreachable {
 				sim.schedule(readTimeout, func() {
-					applyIfLeading(dispatch.WorkerReading{ID: r.Worker.ID, SentAt: sentAt, Err: errors.New("no answer")})
+					applyIfLeading(dispatch.WorkerReading{ID: r.Worker.ID, Token: r.Token, SentAt: sentAt, Err: errors.New("no answer")})
 				})
 				return
 			}
--- a/dispatch/filler.go
+++ b/dispatch/filler.go
@@ -96,7 +96,7 @@
 	}
 	run.pacedAt = r.now
 	r.effects.Paces = append(r.effects.Paces, PaceRun{
-		Worker: run.worker.registration, Task: run.task, Run: run.number, Percent: percent,
+		Worker: run.worker.registration, Token: r.fence(run.worker), Task: run.task, Run: run.number, Percent: percent,
 	})
 	r.addNote(Note{
 		Kind: NoteRunPaced, Job: run.task.Job, Task: run.task, Run: run.number, Worker: run.worker.registration.ID,
@@ -105,7 +105,7 @@
 }
 
 func (r *Reducer) handlePaceAnswer(e PaceAnswered) {
-	w := r.answeringWorker(e.Worker, e.Rejection)
+	w := r.answeringWorker(e.Worker, e.Rejection, e.Token)
 	if w == nil {
 		return
 	}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -184,6 +184,7 @@
 type run struct {
 	task           job.TaskID
 	number         int64
+	token          int64 // of its start order
 	step           *stepState
 	worker         *worker
 	orderedAt      time.Time
--- a/dispatch/progress_test.go
+++ b/dispatch/progress_test.go
@@ -12,7 +12,7 @@
 
 var _ = Describe("Progress", func() {
 	const maxRowBytes = 4096
-	const secondTerm = 2 << 22 // first run number of the second leader
+	const secondTerm = (1 + dispatch.TokensPerTerm) << 22 // first run number of the second leader
 	scheduled := func(n int, occurrences int64, interval time.Duration, step job.Step) job.Job {
 		j := newJob(n, "plain", step)
 		j.Definition.Occurrences, j.Definition.IntervalMilliseconds = occurrences, interval.Milliseconds()
--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -3,8 +3,9 @@
 //
 // Only jobs, cancellations and ends of tasks are durable. Runs are read from the workers: a new
 // leader reads each worker with its own token, which fences the predecessor there, before it
-// starts a task that the predecessor may have started. A worker forgets the end of a run only
-// after the leader has saved it.
+// starts a task that the predecessor may have started. In the same way it fences its own
+// earlier orders at a worker that has restarted, since a worker forgets with its runs which
+// token it has seen. A worker forgets the end of a run only after the leader has saved it.
 //
 // A reading is a worker's answer with its active and ended runs. The ended runs, or ends for
 // short, are numbered, so that the leader can acknowledge them up to a number.
@@ -50,9 +51,13 @@
 	runNumbersPerToken    = 1 << 22                // run numbers available to each token
 )
 
+// TokensPerTerm is the number of fencing tokens of one leader. It orders with its first token
+// until a worker restarts, and with the next one each time that this worker has restarted.
+const TokensPerTerm = 1 << 8
+
 // Options configure a reducer.
 type Options struct {
-	Token                  int64     // fencing token of this leadership; rises from leader to leader
+	Token                  int64     // first fencing token of this leadership; rises by TokensPerTerm at least
 	ClaimedAt              time.Time // when the claim was sent, which confirms the leadership
 	PredecessorSuspectedAt time.Time // a time after the predecessor's last confirmation
 	// ClaimVersion is the store version of the claim, PredecessorVersion that of the
@@ -113,7 +118,8 @@
 	notifiedBeforeLoad map[job.ID]job.Job   // stored jobs that this leader was notified of before the load
 	offers             map[job.ID]*jobState // jobs that are being stored
 	workers            map[job.WorkerID]*worker
-	sortedWorkers      []*worker // sorted by ID
+	sortedWorkers      []*worker              // sorted by ID
+	restarts           map[job.WorkerID]int64 // restarts that this leader has seen
 	enrolling          map[*worker]struct{}
 	unenrolling        []job.WorkerID
 	closedJobs         []closedJob // in the order of removal times
@@ -157,6 +163,7 @@
 		jobs:               map[job.ID]*jobState{},
 		offers:             map[job.ID]*jobState{},
 		workers:            map[job.WorkerID]*worker{},
+		restarts:           map[job.WorkerID]int64{},
 		enrolling:          map[*worker]struct{}{},
 		notifiedBeforeLoad: map[job.ID]job.Job{},
 		waitingSteps:       map[*stepState]struct{}{},
--- a/dispatch/simulation_test.go
+++ b/dispatch/simulation_test.go
@@ -54,6 +54,7 @@
 	storeDown       bool
 	term            int // number of the leadership; effects of earlier ones are dropped
 	violations      []string
+	deposed         bool // a leader has found that a worker has seen a higher token
 	noteCounts      map[dispatch.NoteKind]int
 	lastExplanation string // latest explanation of a waiting step
 	callCount       int
@@ -223,7 +224,7 @@
 	sim.reducer = nil
 	sim.schedule(gap, func() {
 		o := sim.options
-		o.Token++
+		o.Token += dispatch.TokensPerTerm
 		o.FirstLeader, o.ClaimedAt, o.PredecessorSuspectedAt = false, sim.now, suspected
 		sim.startLeader(o)
 	})
@@ -308,6 +309,7 @@
 	}
 	sim.appliedEvents++
 	effects := sim.reducer.Apply(sim.now, event)
+	sim.deposed = sim.deposed || effects.LeadershipLost
 	for _, n := range effects.Notes {
 		sim.noteCounts[n.Kind]++
 		if n.Kind == dispatch.NoteStepWaiting {
@@ -321,11 +323,11 @@
 		}
 	}
 	for _, s := range effects.Starts {
-		sim.executeStart(s, sim.options.Token, applyIfLeading)
+		sim.executeStart(s, s.Token, applyIfLeading)
 	}
 	for _, s := range effects.Stops {
 		sim.schedule(networkDelay, func() {
-			sim.executeStop(s, sim.options.Token, applyIfLeading)
+			sim.executeStop(s, s.Token, applyIfLeading)
 		})
 	}
 	for _, p := range effects.Paces {
@@ -334,11 +336,11 @@
 			if run := w.running[p.Task]; run != nil && run.order.Run == p.Run {
 				run.idlePercent = 100 - p.Percent
 			}
-			applyIfLeading(dispatch.PaceAnswered{Worker: p.Worker.ID, Task: p.Task, Run: p.Run, Percent: p.Percent})
+			applyIfLeading(dispatch.PaceAnswered{Worker: p.Worker.ID, Token: p.Token, Task: p.Task, Run: p.Run, Percent: p.Percent})
 		})
 	}
 	for _, r := range effects.Reads {
-		sim.executeRead(r, sim.options.Token, applyIfLeading)
+		sim.executeRead(r, r.Token, applyIfLeading)
 	}
 	for _, a := range effects.AdviceRequests {
 		sim.executeAdviceCall(a, applyIfLeading)
--- a/dispatch/start.go
+++ b/dispatch/start.go
@@ -10,7 +10,7 @@
 func (r *Reducer) startRun(s *stepState, index int, w *worker, number int64, ticket string) {
 	task := &s.tasks[index]
 	ordered := &run{
-		task: job.TaskID{StepID: s.id, Index: index}, number: number, step: s, worker: w, orderedAt: r.now,
+		task: job.TaskID{StepID: s.id, Index: index}, number: number, token: r.fence(w), step: s, worker: w, orderedAt: r.now,
 		percentOfTime: fullPercent,
 	}
 	task.run = ordered
@@ -26,7 +26,7 @@
 	ordered.resumed = checkpoint != ""
 	r.starts.add(ordered)
 	r.effects.Starts = append(r.effects.Starts, StartRun{
-		Worker: w.registration, Task: ordered.task, Run: number, Spec: s.job.job.Definition.Spec,
+		Worker: w.registration, Token: ordered.token, Task: ordered.task, Run: number, Spec: s.job.job.Definition.Spec,
 		Checkpoint: checkpoint, Ticket: ticket, Deadline: w.toWorkerClock(end),
 	})
 	r.addNote(Note{
@@ -49,7 +49,7 @@
 	}
 	w.health.observeOrder(r.now, e.Err == nil || e.NotExecuted)
 	ordered := w.runs[runKey{e.Task, e.Run}]
-	if e.Rejection == job.RejectedStaleToken {
+	if r.isDeposed(w, e.Rejection, e.Token) {
 		r.effects.LeadershipLost = true
 		return
 	}
@@ -101,18 +101,18 @@
 }
 
 // answeringWorker returns the worker that answers an order, or nil if it is unknown or has
-// seen a higher token.
-func (r *Reducer) answeringWorker(id job.WorkerID, rejection job.Rejection) *worker {
+// seen a higher token than the order's.
+func (r *Reducer) answeringWorker(id job.WorkerID, rejection job.Rejection, token int64) *worker {
 	w := r.workers[id]
 	if w != nil && rejection == job.RejectedStaleToken {
-		r.effects.LeadershipLost = true
+		r.effects.LeadershipLost = r.effects.LeadershipLost || r.isDeposed(w, rejection, token)
 		return nil
 	}
 	return w
 }
 
 func (r *Reducer) handleStopAnswer(e StopAnswered) {
-	w := r.answeringWorker(e.Worker, e.Rejection)
+	w := r.answeringWorker(e.Worker, e.Rejection, e.Token)
 	if w == nil {
 		return
 	}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -59,6 +59,18 @@
 	run  int64
 }
 
+// fence returns the token of orders to a worker. Orders of earlier tokens that are still on
+// their way are refused once the worker has executed one with this token.
+func (r *Reducer) fence(w *worker) int64 {
+	return r.token + min(r.restarts[w.registration.ID], TokensPerTerm-1)
+}
+
+// isDeposed reports whether a rejection shows that another leader has ordered with a higher
+// token. An order from before the worker's restart is fenced by this leader's later ones.
+func (r *Reducer) isDeposed(w *worker, rejection job.Rejection, token int64) bool {
+	return rejection == job.RejectedStaleToken && token >= r.fence(w)
+}
+
 // toWorkerClock converts a time to milliseconds of the worker's clock. The result is never too
 // late, because the worker read its clock before clockAt.
 func (w *worker) toWorkerClock(at time.Time) int64 {
@@ -147,7 +159,7 @@
 		if !urgent && unsaved && !w.unreachable && r.now.Sub(w.clockAt) < unsavedReadDelay {
 			continue
 		}
-		read := ReadWorker{Worker: w.registration, AcknowledgedEnd: w.savedEnd, LongPoll: !urgent && !unsaved && w.wasRead && !w.unreachable}
+		read := ReadWorker{Worker: w.registration, Token: r.fence(w), AcknowledgedEnd: w.savedEnd, LongPoll: !urgent && !unsaved && w.wasRead && !w.unreachable}
 		if read.LongPoll && (w.unreliable || r.hasOverdueRuns(w) || w.hasServicesAndFillers()) {
 			read.ShortWait = true
 		}
@@ -222,7 +234,7 @@
 		}
 		w.unreachable = true
 		if e.Replaced {
-			w.wasRead = true
+			w.wasRead, w.wasListed, w.moreEnds = true, true, false
 			r.giveUpRuns(w, e.SentAt, "another incarnation answers at the worker's address")
 		}
 		r.stopIncompleteGangs(w)
@@ -230,7 +242,11 @@
 		return
 	}
 	if e.Reading.Rejection == job.RejectedStaleToken {
-		r.effects.LeadershipLost = true
+		r.effects.LeadershipLost = r.effects.LeadershipLost || r.isDeposed(w, e.Reading.Rejection, e.Token)
+		return
+	}
+	if w.startTime != 0 && w.startTime != e.Reading.StartTime && e.Token < r.fence(w) {
+		// An answer of an earlier incarnation has been overtaken.
 		return
 	}
 	if w.unreachable {
@@ -272,7 +288,9 @@
 	w.moreEnds = e.Reading.MoreEnds
 	r.reconcileRuns(w, e)
 	r.throttleFillers(w)
-	w.wasRead, w.wasListed = true, w.wasListed || !w.moreEnds
+	if e.Token == r.fence(w) {
+		w.wasRead, w.wasListed = true, w.wasListed || !w.moreEnds
+	}
 	if w.processedEnd > w.savedEnd && len(r.unsavedJobs) == 0 && r.saveMarks == nil {
 		// None of the ends changed the durable state.
 		w.savedEnd = w.processedEnd
@@ -292,22 +310,17 @@
 	unknownJobReadDelay = 150 * time.Millisecond
 )
 
-// handleRestart discards the state of the previous incarnation of a worker.
+// handleRestart discards the state of the previous incarnation of a worker. Its runs are given
+// up after a reading with a new token: until then, a start that is still on its way may be
+// executed by this incarnation.
 func (r *Reducer) handleRestart(w *worker, e WorkerReading) {
 	if w.startTime != 0 {
 		r.addNote(Note{Kind: NoteWorkerRestarted, Worker: e.ID})
+		r.restarts[e.ID]++
+		w.wasRead, w.readSoon = false, true
 	}
 	w.startTime, w.processedEnd, w.savedEnd = e.Reading.StartTime, 0, 0
 	w.health, w.pace, w.fillerThrottle, w.orphans = health{}, pace{}, fillerThrottle{}, nil
-	listed := map[runKey]bool{}
-	for _, running := range e.Reading.Running {
-		listed[runKey{running.Task, running.Run}] = true
-	}
-	for key, run := range w.runs {
-		if !listed[key] && run.orderedAt.Before(e.SentAt) {
-			r.giveUpRun(run, "the worker has restarted")
-		}
-	}
 }
 
 // giveUpRuns gives up the runs of a worker that were ordered before a time.
@@ -346,8 +359,8 @@
 			delete(w.orphans, key)
 		}
 	}
-	if e.Reading.MoreEnds {
-		// A run that is not listed may have ended.
+	if e.Reading.MoreEnds || e.Token < r.fence(w) {
+		// A run that is not listed may have ended, or may still start.
 		return
 	}
 	for key, run := range w.runs {
@@ -355,6 +368,8 @@
 			continue
 		}
 		switch {
+		case run.token < e.Token:
+			r.giveUpRun(run, "the worker has restarted")
 		case !run.stopAnsweredAt.IsZero() && run.stopAnsweredAt.Before(e.SentAt):
 			r.giveUpRun(run, "stopped before it started")
 		case !run.unknownAt.IsZero() && run.unknownAt.Before(e.SentAt) && !run.stopping:
@@ -408,7 +423,7 @@
 
 func (r *Reducer) sendStop(run *run) {
 	run.stopSentAt = r.now
-	r.effects.Stops = append(r.effects.Stops, StopRun{Worker: run.worker.registration, Task: run.task, Run: run.number})
+	r.effects.Stops = append(r.effects.Stops, StopRun{Worker: run.worker.registration, Token: r.fence(run.worker), Task: run.task, Run: run.number})
 }
 
 // stopIncompleteGangs stops the gangs that wait for a member on a worker that does not answer.
--- a/instance/effects.go
+++ b/instance/effects.go
@@ -78,12 +78,12 @@
 	began := time.Now()
 	rejection, err := l.instance.runner.Start(ctx, s.Worker.Address, s.Worker.ID, runner.StartOrder{
 		Task: s.Task, Run: s.Run, Spec: s.Spec, Checkpoint: s.Checkpoint, Ticket: s.Ticket,
-		Token: l.token, DeadlineMilliseconds: s.Deadline,
+		Token: s.Token, DeadlineMilliseconds: s.Deadline,
 	})
 	l.instance.timer("start_order").UpdateSince(began)
 	unhealthy := errors.Is(err, runner.ErrUnhealthy)
 	l.post(dispatch.StartAnswered{
-		Worker: s.Worker.ID, Task: s.Task, Run: s.Run, Rejection: rejection, Err: err, Unhealthy: unhealthy,
+		Worker: s.Worker.ID, Token: s.Token, Task: s.Task, Run: s.Run, Rejection: rejection, Err: err, Unhealthy: unhealthy,
 		NotExecuted: unhealthy || errors.Is(err, runner.ErrWrongIncarnation) || errors.Is(err, runner.ErrMalformed),
 	})
 }
@@ -91,19 +91,19 @@
 func (l *leadership) stopRun(s dispatch.StopRun) {
 	ctx, cancel := context.WithTimeout(l.ctx, orderTimeout)
 	defer cancel()
-	rejection, err := l.instance.runner.Stop(ctx, s.Worker.Address, s.Worker.ID, s.Task, s.Run, l.token)
-	l.post(dispatch.StopAnswered{Worker: s.Worker.ID, Task: s.Task, Run: s.Run, Rejection: rejection, Err: err})
+	rejection, err := l.instance.runner.Stop(ctx, s.Worker.Address, s.Worker.ID, s.Task, s.Run, s.Token)
+	l.post(dispatch.StopAnswered{Worker: s.Worker.ID, Token: s.Token, Task: s.Task, Run: s.Run, Rejection: rejection, Err: err})
 }
 
 func (l *leadership) setPace(p dispatch.PaceRun) {
 	ctx, cancel := context.WithTimeout(l.ctx, orderTimeout)
 	defer cancel()
-	rejection, err := l.instance.runner.SetPace(ctx, p.Worker.Address, p.Worker.ID, p.Task, p.Run, l.token, p.Percent)
-	l.post(dispatch.PaceAnswered{Worker: p.Worker.ID, Task: p.Task, Run: p.Run, Percent: p.Percent, Rejection: rejection, Err: err})
+	rejection, err := l.instance.runner.SetPace(ctx, p.Worker.Address, p.Worker.ID, p.Task, p.Run, p.Token, p.Percent)
+	l.post(dispatch.PaceAnswered{Worker: p.Worker.ID, Token: p.Token, Task: p.Task, Run: p.Run, Percent: p.Percent, Rejection: rejection, Err: err})
 }
 
 func (l *leadership) readWorker(r dispatch.ReadWorker) {
-	order := runner.ReadOrder{Token: l.token, AcknowledgedEnd: r.AcknowledgedEnd, DeadlineMilliseconds: r.Deadline}
+	order := runner.ReadOrder{Token: r.Token, AcknowledgedEnd: r.AcknowledgedEnd, DeadlineMilliseconds: r.Deadline}
 	switch {
 	case r.ShortWait:
 		order.Wait = shortPollDuration
@@ -115,7 +115,7 @@
 	sentAt := time.Now()
 	reading, err := l.instance.runner.Read(ctx, r.Worker.Address, r.Worker.ID, order)
 	l.post(dispatch.WorkerReading{
-		ID: r.Worker.ID, SentAt: sentAt, Reading: reading, Replaced: errors.Is(err, runner.ErrWrongIncarnation), Err: err,
+		ID: r.Worker.ID, Token: r.Token, SentAt: sentAt, Reading: reading, Replaced: errors.Is(err, runner.ErrWrongIncarnation), Err: err,
 	})
 }
 
--- a/instance/elect.go
+++ b/instance/elect.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"fuchsiacross/dispatch"
 	"fuchsiacross/election"
 	"fuchsiacross/jobstore"
 	"fuchsiacross/logevent"
@@ -99,7 +100,7 @@
 	ctx, cancel := context.WithTimeout(i.ctx, storeCallTimeout)
 	defer cancel()
 	unchanged, slowestRead := e.ClaimEvidence(time.Now())
-	claimed := jobstore.LeaderRow{Name: i.settings.Name, Incarnation: i.incarnation, Token: predecessor.Token + 1}
+	claimed := jobstore.LeaderRow{Name: i.settings.Name, Incarnation: i.incarnation, Token: nextToken(predecessor.Token)}
 	sentAt := time.Now()
 	newVersion, err := s.jobs.WriteLeader(ctx, version, claimed, nil)
 	if err != nil && !errors.Is(err, jobstore.ErrDeposed) && !errors.Is(err, store.ErrRefused) {
@@ -115,6 +116,9 @@
 	s.runTerm(claimed, version, newVersion, sentAt)
 }
 
+// nextToken returns the first fencing token of the term after the one of a token.
+func nextToken(token int64) int64 { return (token/dispatch.TokensPerTerm + 1) * dispatch.TokensPerTerm }
+
 // resolveClaim finds out whether a claim without an answer was carried out, and returns the
 // version of its row.
 func (s *shard) resolveClaim(claimed jobstore.LeaderRow) (int64, error) {
