dispatch: use the next token at a worker that has been gone

Cause: a worker that was dropped may return as another incarnation under its id. Its new state did not tell that orders to the earlier one may still be on their way. Change: its token counts as used up when it is dropped. Measured: the tests of package dispatch pass; no play shows the case.

--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -52,7 +52,7 @@
 )
 
 // TokensPerTerm is the number of fencing tokens of one leader. It orders with its first token
-// until a worker restarts, and with the next one each time that this worker has restarted.
+// until a worker restarts or is gone, and from then on with the next one at this worker.
 const TokensPerTerm = 1 << 8
 
 // Options configure a reducer.
@@ -119,7 +119,7 @@
 	offers             map[job.ID]*jobState // jobs that are being stored
 	workers            map[job.WorkerID]*worker
 	sortedWorkers      []*worker              // sorted by ID
-	restarts           map[job.WorkerID]int64 // restarts that this leader has seen
+	usedTokens         map[job.WorkerID]int64 // tokens that are used up at a worker, because it has restarted or was gone
 	enrolling          map[*worker]struct{}
 	unenrolling        []job.WorkerID
 	closedJobs         []closedJob // in the order of removal times
@@ -163,7 +163,7 @@
 		jobs:               map[job.ID]*jobState{},
 		offers:             map[job.ID]*jobState{},
 		workers:            map[job.WorkerID]*worker{},
-		restarts:           map[job.WorkerID]int64{},
+		usedTokens:         map[job.WorkerID]int64{},
 		enrolling:          map[*worker]struct{}{},
 		notifiedBeforeLoad: map[job.ID]job.Job{},
 		waitingSteps:       map[*stepState]struct{}{},
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -62,7 +62,7 @@
 // fence returns the token of orders to a worker. Orders of earlier tokens that are still on
 // their way are refused once the worker has executed one with this token.
 func (r *Reducer) fence(w *worker) int64 {
-	return r.token + min(r.restarts[w.registration.ID], TokensPerTerm-1)
+	return r.token + min(r.usedTokens[w.registration.ID], TokensPerTerm-1)
 }
 
 // isDeposed reports whether a rejection shows that another leader has ordered with a higher
@@ -133,6 +133,7 @@
 	if w.registered {
 		return
 	}
+	r.usedTokens[w.registration.ID]++ // it may return as another incarnation
 	delete(r.workers, w.registration.ID)
 	delete(r.enrolling, w)
 	w.acceptsRuns = false
@@ -316,7 +317,7 @@
 func (r *Reducer) handleRestart(w *worker, e WorkerReading) {
 	if w.startTime != 0 {
 		r.addNote(Note{Kind: NoteWorkerRestarted, Worker: e.ID})
-		r.restarts[e.ID]++
+		r.usedTokens[e.ID]++
 		w.wasRead, w.readSoon = false, true
 	}
 	w.startTime, w.processedEnd, w.savedEnd = e.Reading.StartTime, 0, 0
