dispatch: compare the number of completed occurrences as before

Cause: the comparison had become an equality with the change of the progress. No case is known in which they differ. Measured: the tests of progress and of the reducer pass.

--- a/dispatch/end.go
+++ b/dispatch/end.go
@@ -93,7 +93,7 @@
 		return
 	}
 	j := s.job
-	if j.completedOccurrences.count+1 == max(1, j.job.Definition.Occurrences) {
+	if j.completedOccurrences.count+1 >= max(1, j.job.Definition.Occurrences) {
 		r.closeJob(j, job.StateCompleted)
 	}
 	j.completeOccurrence(s.id.Occurrence)
