--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -263,6 +263,23 @@
 
 	// A new version must be in force soon even if its change was lost, and an older version
 	// must never replace it.
+	// A rejected call counted as one without an answer, so that some jobs that the store does
+	// not take had all others refused.
+	It("rejects a job that the store does not take, and no others", func() {
+		s := newTestCluster(1, 1, 100*time.Millisecond)
+		i := s.instances[0]
+		s.store.SetMaxRowBytes(1000)
+		large := strings.Replace(twoStepJob, `"TaskSpec":"`, `"TaskSpec":"`+strings.Repeat("x", 2000), 1)
+		status, _ := s.request(i, http.MethodPost, path(1), large)
+		Expect(status).To(Equal(http.StatusBadRequest))
+		for range 10 {
+			i.recordStoreCall(store.ErrInvalid)
+		}
+		Expect(i.isStoreUnavailable()).To(BeFalse())
+		status, _ = s.request(i, http.MethodPost, path(2), twoStepJob)
+		Expect(status).To(Equal(http.StatusOK))
+	})
+
 	It("keeps the newest configuration in force", func() {
 		s := newTestCluster(1, 1, 100*time.Millisecond)
 		s.putConfiguration(5, "/q/")
