dispatch: failing tests of a former leader beside its successor

Change: the simulation of the reducer's tests can have several leaders at once. A former leader that is cut off from the store and from some workers goes on until a worker rejects its token. A start after an acknowledged end as done is a violation, also once the worker has forgotten the end. No logic changes.

--- a/dispatch/fakeworker_test.go
+++ b/dispatch/fakeworker_test.go
@@ -30,6 +30,7 @@
 	unregistered bool // its registration is missing
 	readTerm     int  // term of the leader that read it last
 	unreachable  bool
+	replaced     bool    // another incarnation answers at its address
 	slowdown     float64 // factor on the length of runs in a disturbance; zero means 1
 	pace         float64 // permanent factor on the length of runs, by hardware; zero means 1
 }
@@ -62,7 +63,7 @@
 	return strconv.FormatFloat(r.percent(now), 'f', -1, 64)
 }
 
-func (sim *simulation) executeStart(s dispatch.StartRun, token int64, applyIfLeading func(any)) {
+func (sim *simulation) executeStart(l *leader, s dispatch.StartRun, applyIfLeading func(any)) {
 	sendAnswer, delay := sim.started(s)
 	if late := sim.orderDelay(s.Worker.ID); late > 0 {
 		sendAnswer, delay = false, late
@@ -76,7 +77,7 @@
 	}
 	sim.schedule(networkDelay+delay, func() {
 		w := sim.workers[s.Worker.ID]
-		if w.unreachable {
+		if !l.canReach(w) {
 			if sendAnswer {
 				sim.schedule(orderTimeout, func() {
 					answer.Err = errors.New("no answer")
@@ -85,7 +86,7 @@
 			}
 			return
 		}
-		answer.Rejection = w.start(sim, s, token)
+		answer.Rejection = w.start(sim, s)
 		if sendAnswer {
 			sim.schedule(networkDelay, func() { applyIfLeading(answer) })
 		}
@@ -94,16 +95,16 @@
 
 func (w *fakeWorker) clock(sim *simulation) int64 { return sim.now.UnixMilli() + w.clockOffset }
 
-func (w *fakeWorker) start(sim *simulation, s dispatch.StartRun, token int64) job.Rejection {
+func (w *fakeWorker) start(sim *simulation, s dispatch.StartRun) job.Rejection {
 	switch {
-	case token < w.token:
+	case s.Token < w.token:
 		return job.RejectedStaleToken
 	case w.clock(sim) > s.Deadline:
 		return job.RejectedDeadline
 	case w.stopped[s.Task] >= s.Run:
 		return job.RejectedStaleRun
 	}
-	w.token = token
+	w.token = s.Token
 	w.extendLease(sim, s.Deadline)
 	allocation := sim.jobs[s.Task.Job].Definition.Steps[s.Task.Step].Allocation()
 	used := allocation
@@ -124,6 +125,9 @@
 			}
 		}
 	}
+	if sim.acknowledged[s.Task] {
+		sim.addViolation("%s starts after its end as done was acknowledged", s.Task)
+	}
 	if !sim.completedAt[s.Task.Job].IsZero() {
 		sim.addViolation("%s starts after its job was shown as completed", s.Task)
 	}
@@ -262,12 +266,12 @@
 	}
 }
 
-func (sim *simulation) executeStop(s dispatch.StopRun, token int64, applyIfLeading func(any)) {
+func (sim *simulation) executeStop(l *leader, s dispatch.StopRun, applyIfLeading func(any)) {
 	w := sim.workers[s.Worker.ID]
 	answer := dispatch.StopAnswered{Worker: s.Worker.ID, Token: s.Token, Task: s.Task, Run: s.Run}
 	if late := sim.orderDelay(s.Worker.ID); late > 0 {
 		sim.schedule(late, func() {
-			if !w.unreachable && token >= w.token {
+			if l.canReach(w) && s.Token >= w.token {
 				w.stop(s)
 			}
 		})
@@ -277,14 +281,14 @@
 		})
 		return
 	}
-	if w.unreachable {
+	if !l.canReach(w) {
 		sim.schedule(orderTimeout, func() {
 			answer.Err = errors.New("no answer")
 			applyIfLeading(answer)
 		})
 		return
 	}
-	if token < w.token {
+	if s.Token < w.token {
 		answer.Rejection = job.RejectedStaleToken
 		applyIfLeading(answer)
 		return
@@ -300,8 +304,8 @@
 	}
 }
 
-func (sim *simulation) executeRead(r dispatch.ReadWorker, token int64, applyIfLeading func(any)) {
-	sentAt, term := sim.now, sim.term
+func (sim *simulation) executeRead(l *leader, r dispatch.ReadWorker, applyIfLeading func(any)) {
+	sentAt := sim.now
 	w := sim.workers[r.Worker.ID]
 	answer := func() {
 		reading := job.WorkerSnapshot{
@@ -318,8 +322,8 @@
 			reading.Running = append(reading.Running, running)
 		}
 		delay := networkDelay
-		if w.readTerm < term {
-			w.readTerm = term
+		if w.readTerm < l.term {
+			w.readTerm = l.term
 			delay += sim.firstReadDelay(r.Worker.ID)
 		}
 		sim.schedule(delay, func() {
@@ -340,21 +344,30 @@
 		return
 	}
 	sim.schedule(networkDelay, func() {
-		if w.unreachable {
+		if !l.canReach(w) {
 			sim.schedule(wait+readTimeout, func() {
 				applyIfLeading(dispatch.WorkerReading{ID: r.Worker.ID, Token: r.Token, SentAt: sentAt, Err: errors.New("no answer")})
 			})
 			return
 		}
-		if token < w.token {
+		if w.replaced {
+			applyIfLeading(dispatch.WorkerReading{ID: r.Worker.ID, Token: r.Token, SentAt: sentAt, Replaced: true, Err: errors.New("wrong incarnation")})
+			return
+		}
+		if r.Token < w.token {
 			applyIfLeading(dispatch.WorkerReading{ID: r.Worker.ID, Token: r.Token, SentAt: sentAt, Reading: job.WorkerSnapshot{Rejection: job.RejectedStaleToken}})
 			return
 		}
-		w.token = token
+		w.token = r.Token
 		if r.Deadline != 0 {
 			w.extendLease(sim, r.Deadline)
 		}
-		w.endedRuns = slices.DeleteFunc(w.endedRuns, func(e job.EndedRun) bool { return e.Number <= r.AcknowledgedEnd })
+		w.endedRuns = slices.DeleteFunc(w.endedRuns, func(e job.EndedRun) bool {
+			if e.Number <= r.AcknowledgedEnd && e.Kind == job.EndDone && e.Number > w.lapsedEnd {
+				sim.acknowledged[e.Task] = true
+			}
+			return e.Number <= r.AcknowledgedEnd
+		})
 		if !r.LongPoll || len(w.endedRuns) > 0 {
 			answer()
 			return
@@ -365,7 +378,7 @@
 				return
 			}
 			done = true
-			if w.unreachable {
+			if !l.canReach(w) {
 				sim.schedule(readTimeout, func() {
 					applyIfLeading(dispatch.WorkerReading{ID: r.Worker.ID, Token: r.Token, SentAt: sentAt, Err: errors.New("no answer")})
 				})
--- /dev/null
+++ b/dispatch/formerleader_test.go
@@ -0,0 +1,87 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"fuchsiacross/job"
+)
+
+// formerLeaderClaimGap is the time between the isolation of a leader and its successor's claim.
+const formerLeaderClaimGap = 600 * time.Millisecond
+
+// newBusyWorker returns a simulation in which w00 has run all tasks of a job for a second, and
+// the other workers are idle.
+func newBusyWorker(g Gomega, taskLength time.Duration) *simulation {
+	sim := newSimulation(4, 16, plain)
+	sim.advance(200 * time.Millisecond)
+	step := job.Step{Tasks: 4, Demand: demand(4, 4), EstimateMilliseconds: float64(taskLength.Milliseconds())}
+	sim.submit(newJob(1, "plain", step))
+	sim.advance(time.Second)
+	g.Expect(sim.workers["w00"].running).To(HaveLen(step.Tasks))
+	return sim
+}
+
+func expectCompletedOnce(g Gomega, sim *simulation) {
+	state, _ := sim.reducer.Status(id(1))
+	g.Expect(state).To(Equal(job.StateCompleted))
+	g.Expect(sim.violations).To(BeEmpty())
+}
+
+// The successor has extended the lease that the former leader takes for expired.
+func TestFormerLeaderRestartsRunsOfExtendedLease(t *testing.T) {
+	g := NewWithT(t)
+	sim := newBusyWorker(g, 8*time.Second)
+	sim.isolateLeader(formerLeaderClaimGap, "w03")
+	sim.advance(12 * time.Second)
+	expectCompletedOnce(g, sim)
+}
+
+// The successor has acknowledged the ends before the former leader takes the lease for expired.
+func TestFormerLeaderRestartsAcknowledgedTasks(t *testing.T) {
+	g := NewWithT(t)
+	sim := newBusyWorker(g, 4*time.Second)
+	sim.isolateLeader(formerLeaderClaimGap, "w03")
+	sim.advance(12 * time.Second)
+	expectCompletedOnce(g, sim)
+}
+
+// A leader that is deposed itself takes the leases of its predecessor for expired.
+func TestFormerLeaderRestartsRunsOfItsPredecessor(t *testing.T) {
+	g := NewWithT(t)
+	sim := newBusyWorker(g, 8*time.Second)
+	sim.leader.ended = true
+	sim.nextReaches = func(w job.WorkerID) bool { return w == "w03" }
+	sim.startSuccessor(sim.now)
+	sim.advance(2400 * time.Millisecond)
+	sim.isolateLeader(formerLeaderClaimGap, "w03")
+	sim.advance(15 * time.Second)
+	expectCompletedOnce(g, sim)
+}
+
+// The worker is gone, but its ends were acknowledged before.
+func TestFormerLeaderRestartsTasksOfReplacedWorker(t *testing.T) {
+	g := NewWithT(t)
+	sim := newBusyWorker(g, 2*time.Second)
+	former := sim.isolateLeader(formerLeaderClaimGap, "w03")
+	sim.advance(2 * time.Second)
+	sim.workers["w00"].replaced = true
+	former.reaches = func(w job.WorkerID) bool { return w == "w00" || w == "w03" }
+	sim.advance(10 * time.Second)
+	expectCompletedOnce(g, sim)
+}
+
+// The worker has restarted, but its ends were acknowledged before.
+func TestFormerLeaderRestartsTasksOfRestartedWorker(t *testing.T) {
+	g := NewWithT(t)
+	sim := newBusyWorker(g, 2*time.Second)
+	former := sim.isolateLeader(formerLeaderClaimGap, "w03")
+	sim.advance(2 * time.Second)
+	sim.workers["w00"].restart()
+	former.reaches = func(w job.WorkerID) bool { return w == "w00" || w == "w03" }
+	sim.leader.reaches = func(w job.WorkerID) bool { return w != "w00" && w != "w03" }
+	sim.advance(10 * time.Second)
+	expectCompletedOnce(g, sim)
+}
--- a/dispatch/simulation_test.go
+++ b/dispatch/simulation_test.go
@@ -20,7 +20,8 @@
 // tasks, the store that keeps progress and the advice service. It records violations of the
 // scheduling rules.
 type simulation struct {
-	reducer        *dispatch.Reducer
+	leader         *leader           // the latest; nil between two leaderships
+	reducer        *dispatch.Reducer // of the latest leader
 	options        dispatch.Options
 	start          time.Time
 	now            time.Time
@@ -39,6 +40,8 @@
 	furtherParts    map[dispatch.ProgressPart]dispatch.Progress // of jobs with several parts
 	maxRowBytes     int                                         // limit of the store; zero means none
 	rejectsProgress func(dispatch.Progress) bool                // the store rejects a save that contains it
+	nextReaches     func(job.WorkerID) bool                     // the workers that the next leader reaches; nil means all
+	acknowledged    map[job.TaskID]bool                         // tasks of which an end as done was acknowledged
 	enrolled        map[job.WorkerID]job.Worker
 	missingFromLoad map[job.ID]bool           // stored too late for the next leader's load
 	resubmitted     []job.ID                  // with a row in each home
@@ -52,7 +55,7 @@
 	removedJobs     []job.ID
 	removalError    error // result of removals
 	storeDown       bool
-	term            int // number of the leadership; effects of earlier ones are dropped
+	term            int // number of the latest leadership
 	violations      []string
 	deposed         bool // a leader has found that a worker has seen a higher token
 	noteCounts      map[dispatch.NoteKind]int
@@ -79,6 +82,22 @@
 	outcome func(job.TaskID, int64) job.EndKind
 }
 
+// leader is one leadership. A leader that is cut off from the store goes on beside its successor
+// until a worker rejects its token.
+type leader struct {
+	reducer *dispatch.Reducer
+	term    int
+	ended   bool // its effects have no consequences any more
+	cutOff  bool // from the store
+	// reaches reports whether there is a path to a worker; nil means to all.
+	reaches func(job.WorkerID) bool
+}
+
+// canReach reports whether a worker gets the orders of a leader.
+func (l *leader) canReach(w *fakeWorker) bool {
+	return !w.unreachable && (l.reaches == nil || l.reaches(w.worker.ID))
+}
+
 // action is a function to call at a virtual time. Actions of the same time run in the order
 // of their numbers.
 type action struct {
@@ -127,7 +146,8 @@
 		workers: map[job.WorkerID]*fakeWorker{}, lanes: map[string]time.Time{},
 		noteCounts: map[dispatch.NoteKind]int{},
 		jobs:       map[job.ID]job.Job{}, submittedAt: map[job.ID]time.Time{}, progress: map[job.ID]dispatch.Progress{}, furtherParts: map[dispatch.ProgressPart]dispatch.Progress{}, enrolled: map[job.WorkerID]job.Worker{}, missingFromLoad: map[job.ID]bool{},
-		completedAt: map[job.ID]time.Time{}, startedAt: map[job.ID]time.Time{}, allows: allowTwoThirds,
+		acknowledged: map[job.TaskID]bool{},
+		completedAt:  map[job.ID]time.Time{}, startedAt: map[job.ID]time.Time{}, allows: allowTwoThirds,
 		laneCount:      defaultLaneCount,
 		started:        func(dispatch.StartRun) (bool, time.Duration) { return true, 0 },
 		orderDelay:     func(job.WorkerID) time.Duration { return 0 },
@@ -167,6 +187,8 @@
 	o.ClaimVersion = sim.confirmed
 	sim.options = o
 	sim.reducer = dispatch.New(o)
+	l := &leader{reducer: sim.reducer, term: sim.term, reaches: sim.nextReaches}
+	sim.leader, sim.nextReaches = l, nil
 	sim.apply(dispatch.ConfigurationChanged{Configuration: &job.Configuration{Queues: sim.queues}})
 	sim.setLanes(sim.laneCount)
 	ids := make([]job.WorkerID, 0, len(sim.workers))
@@ -184,17 +206,16 @@
 		sim.beforeLoad()
 	}
 	sim.apply(sim.storedState())
-	term := sim.term
 	var tick func()
 	tick = func() {
-		if term != sim.term {
+		if l.ended {
 			return
 		}
-		if !sim.storeDown {
+		if !sim.storeDown && !l.cutOff {
 			sim.confirmLeadership()
-			sim.apply(dispatch.LeadershipConfirmed{At: sim.now, Version: sim.confirmed})
+			sim.applyTo(l, dispatch.LeadershipConfirmed{At: sim.now, Version: sim.confirmed})
 		}
-		sim.apply(dispatch.Tick{})
+		sim.applyTo(l, dispatch.Tick{})
 		sim.schedule(25*time.Millisecond, tick)
 	}
 	sim.schedule(0, tick)
@@ -220,14 +241,32 @@
 // is stored and what it reads from the workers.
 func (sim *simulation) loseLeader(gap time.Duration) {
 	suspected := sim.now
-	sim.term++
-	sim.reducer = nil
+	sim.leader.ended = true
+	sim.leader, sim.reducer = nil, nil
+	sim.schedule(gap, func() { sim.startSuccessor(suspected) })
+}
+
+// startSuccessor starts a leader whose predecessor was last confirmed before a time.
+func (sim *simulation) startSuccessor(suspected time.Time) {
+	o := sim.options
+	o.Token += dispatch.TokensPerTerm
+	o.FirstLeader, o.ClaimedAt, o.PredecessorSuspectedAt = false, sim.now, suspected
+	sim.startLeader(o)
+}
+
+// isolateLeader cuts the leader off from the store and from all workers but those beside it.
+// After a gap another leader claims the leadership, which reaches all other workers. It returns
+// the former leader, which does not know of its successor.
+func (sim *simulation) isolateLeader(gap time.Duration, beside ...job.WorkerID) *leader {
+	former := sim.leader
+	former.cutOff = true
+	former.reaches = func(id job.WorkerID) bool { return slices.Contains(beside, id) }
+	sim.leader, sim.reducer = nil, nil
 	sim.schedule(gap, func() {
-		o := sim.options
-		o.Token += dispatch.TokensPerTerm
-		o.FirstLeader, o.ClaimedAt, o.PredecessorSuspectedAt = false, sim.now, suspected
-		sim.startLeader(o)
+		sim.nextReaches = func(id job.WorkerID) bool { return !slices.Contains(beside, id) }
+		sim.startSuccessor(sim.now)
 	})
+	return former
 }
 
 func (sim *simulation) storedState() dispatch.JobsLoaded {
@@ -303,12 +342,20 @@
 	sim.violations = append(sim.violations, fmt.Sprintf("%s: ", sim.now.Sub(sim.start))+fmt.Sprintf(format, values...))
 }
 
+// apply applies an event to the latest leader, if there is one.
 func (sim *simulation) apply(event any) {
-	if sim.reducer == nil {
-		return
+	if sim.leader != nil {
+		sim.applyTo(sim.leader, event)
 	}
+}
+
+func (sim *simulation) applyTo(l *leader, event any) {
 	sim.appliedEvents++
-	effects := sim.reducer.Apply(sim.now, event)
+	effects := l.reducer.Apply(sim.now, event)
+	if effects.LeadershipLost && l != sim.leader {
+		l.ended = true
+		return
+	}
 	sim.deposed = sim.deposed || effects.LeadershipLost
 	for _, n := range effects.Notes {
 		sim.noteCounts[n.Kind]++
@@ -316,18 +363,17 @@
 			sim.lastExplanation = n.Detail
 		}
 	}
-	term := sim.term
 	applyIfLeading := func(e any) {
-		if term == sim.term {
-			sim.apply(e)
+		if !l.ended {
+			sim.applyTo(l, e)
 		}
 	}
 	for _, s := range effects.Starts {
-		sim.executeStart(s, s.Token, applyIfLeading)
+		sim.executeStart(l, s, applyIfLeading)
 	}
 	for _, s := range effects.Stops {
 		sim.schedule(networkDelay, func() {
-			sim.executeStop(s, s.Token, applyIfLeading)
+			sim.executeStop(l, s, applyIfLeading)
 		})
 	}
 	for _, p := range effects.Paces {
@@ -340,7 +386,7 @@
 		})
 	}
 	for _, r := range effects.Reads {
-		sim.executeRead(r, r.Token, applyIfLeading)
+		sim.executeRead(l, r, applyIfLeading)
 	}
 	for _, a := range effects.AdviceRequests {
 		sim.executeAdviceCall(a, applyIfLeading)
@@ -354,14 +400,17 @@
 		sim.schedule(storeDelay, func() { applyIfLeading(dispatch.JobRemoved{ID: id, Err: err}) })
 	}
 	if effects.Save != nil {
-		sim.executeSave(*effects.Save, applyIfLeading)
+		sim.executeSave(l, *effects.Save, applyIfLeading)
 	}
 }
 
-func (sim *simulation) executeSave(s dispatch.Save, applyIfLeading func(any)) {
+func (sim *simulation) executeSave(l *leader, s dispatch.Save, applyIfLeading func(any)) {
 	sim.schedule(storeDelay, func() {
+		if l.cutOff {
+			return // a successor claims before the leader reaches the store again
+		}
 		if sim.storeDown {
-			sim.executeSave(s, applyIfLeading)
+			sim.executeSave(l, s, applyIfLeading)
 			return
 		}
 		sim.checkSaveSize(s)
