dispatch: end the earlier leader when a test starts another one

Change: startLeader ends a leader that still leads. The earlier leader's effects have no consequences, as before.

--- a/dispatch/formerleader_test.go
+++ b/dispatch/formerleader_test.go
@@ -52,7 +52,6 @@
 func TestFormerLeaderRestartsRunsOfItsPredecessor(t *testing.T) {
 	g := NewWithT(t)
 	sim := newBusyWorker(g, 8*time.Second)
-	sim.leader.ended = true
 	sim.nextReaches = func(w job.WorkerID) bool { return w == "w03" }
 	sim.startSuccessor(sim.now)
 	sim.advance(2400 * time.Millisecond)
--- a/dispatch/simulation_test.go
+++ b/dispatch/simulation_test.go
@@ -181,6 +181,9 @@
 
 // startLeader starts a new leader with the content of the store.
 func (sim *simulation) startLeader(o dispatch.Options) {
+	if sim.leader != nil {
+		sim.leader.ended = true
+	}
 	sim.term++
 	o.PredecessorVersion = sim.confirmed
 	sim.confirmLeadership()
