dispatch: give up runs of an expired lease only after a later confirmation

What callers saw: tasks that run twice, or again after an acknowledged end, started by a leader that had been replaced without knowing it.

Cause: a leader that was cut off took the lease of a worker for expired by its own clock, 4.7 s after its last extension, and started the tasks elsewhere while its confirmation (5.5 s) still held. Its successor had extended the lease, or acknowledged the ends, in between.

Evidence: TestFormerLeaderRestartsRunsOfExtendedLease (two runs of each task at once) and TestFormerLeaderRestartsAcknowledgedTasks failed before.

Change: the lease counts as expired once the store has confirmed the leadership at a time after its end. No successor had claimed until then, so none can have extended the lease, and the ends that it would acknowledge are those of a lapsed lease. The same holds for the ends that a worker did not list.

--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -87,7 +87,7 @@
 	if r.loaded && !w.inherited {
 		return false
 	}
-	if w.moreEnds && !(w.unreachable && r.now.After(w.leaseEnd)) {
+	if w.moreEnds && !r.leaseHasExpired(w) {
 		return true
 	}
 	// A missing registration proves nothing: a worker that has lost the store may still work
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -460,8 +460,16 @@
 			r.sendStop(run)
 		}
 	}
-	if w.unreachable && r.now.After(w.leaseEnd) {
+	if r.leaseHasExpired(w) {
 		r.giveUpRuns(w, r.now, "the worker's lease has expired")
 	}
 	r.dropIfUnused(w)
 }
+
+// leaseHasExpired reports whether the runs of an unreachable worker have ended with its lease.
+// The leader's clock alone does not show it, since a successor may have extended the lease. A
+// confirmation from after the end of the lease rules that out: until then, no successor had
+// claimed the leadership.
+func (r *Reducer) leaseHasExpired(w *worker) bool {
+	return w.unreachable && r.confirmedAt.After(w.leaseEnd)
+}
