dispatch: wait for a confirmation before a predecessor's runs count as over

What callers saw: tasks that run twice after two changes of leader in a row.

Cause: a leader took the runs of its predecessor on workers that it had not read for over when their leases had expired by its own clock, 5.8 s after its claim. If it was cut off itself meanwhile, its successor had read these workers and extended the leases.

Evidence: TestFormerLeaderRestartsRunsOfItsPredecessor failed before with two runs of each task at once.

Change: the predecessor's leases count as expired once the store has confirmed the leadership at a time after their end.

--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -91,8 +91,8 @@
 		return true
 	}
 	// A missing registration proves nothing: a worker that has lost the store may still work
-	// for a predecessor.
-	return r.now.Before(r.predecessorRunsUntil)
+	// for a predecessor. Nor does the time alone: a successor may have read the worker.
+	return !r.confirmedAt.After(r.predecessorRunsUntil)
 }
 
 // pass is one iteration over the waiting steps. The cost of a step is proportional to the
