dispatch: give up the runs of a replaced worker only after a confirmation

Cause: another incarnation at a worker's address proves that the worker's runs have ended, but not how. A successor may have acknowledged an end as done before the worker was replaced; the former leader started the task again.

Evidence: TestFormerLeaderRestartsTasksOfReplacedWorker failed before with a start of each task after its acknowledged end.

Change: the runs are marked as gone and given up once the store has confirmed the leadership at a later time.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -195,6 +195,8 @@
 	stopAnsweredAt time.Time // when a stop order was answered; zero before
 	missedReadings int       // consecutive readings that did not list it
 	unknownAt      time.Time // when its start order remained unanswered; zero otherwise
+	goneAt         time.Time // when its worker was found to be gone; zero otherwise
+	goneReason     string
 	progress       progress
 	resumed        bool // from a checkpoint, or adopted from a predecessor
 
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -236,7 +236,11 @@
 		w.unreachable = true
 		if e.Replaced {
 			w.wasRead, w.wasListed, w.moreEnds = true, true, false
-			r.giveUpRuns(w, e.SentAt, "another incarnation answers at the worker's address")
+			for _, run := range w.runs {
+				if run.orderedAt.Before(e.SentAt) {
+					run.markGone(r.now, "another incarnation answers at the worker's address")
+				}
+			}
 		}
 		r.stopIncompleteGangs(w)
 		r.dropIfUnused(w)
@@ -324,11 +328,24 @@
 	w.health, w.pace, w.fillerThrottle, w.orphans = health{}, pace{}, fillerThrottle{}, nil
 }
 
-// giveUpRuns gives up the runs of a worker that were ordered before a time.
-func (r *Reducer) giveUpRuns(w *worker, before time.Time, reason string) {
+// markGone records that the incarnation of the worker that had the run is gone.
+func (r *run) markGone(now time.Time, reason string) {
+	if r.goneAt.IsZero() {
+		r.goneAt, r.goneReason = now, reason
+	}
+}
+
+// giveUpEndedRuns gives up the runs that have ended with the lease or the incarnation of their
+// worker. A successor may have acknowledged their ends before; a later confirmation rules that
+// out.
+func (r *Reducer) giveUpEndedRuns(w *worker) {
+	expired := r.leaseHasExpired(w)
 	for _, run := range w.runs {
-		if run.orderedAt.Before(before) {
-			r.giveUpRun(run, reason)
+		switch {
+		case !run.goneAt.IsZero() && r.confirmedAt.After(run.goneAt):
+			r.giveUpRun(run, run.goneReason)
+		case expired:
+			r.giveUpRun(run, "the worker's lease has expired")
 		}
 	}
 }
@@ -344,7 +361,7 @@
 			r.adoptRun(w, running)
 			continue
 		}
-		known.missedReadings, known.unknownAt = 0, time.Time{}
+		known.missedReadings, known.unknownAt, known.goneAt = 0, time.Time{}, time.Time{}
 		known.step.job.started = true
 		if known.presentSince.IsZero() {
 			known.presentSince = r.now
@@ -460,9 +477,7 @@
 			r.sendStop(run)
 		}
 	}
-	if r.leaseHasExpired(w) {
-		r.giveUpRuns(w, r.now, "the worker's lease has expired")
-	}
+	r.giveUpEndedRuns(w)
 	r.dropIfUnused(w)
 }
 
