dispatch: give up the runs of a restarted worker only after a confirmation

What callers saw: nothing yet; found as a path of the same cause.

Cause: a worker that restarts has ended all its runs, but forgets which ends a successor had acknowledged, and the successor's token with them. The former leader read the new incarnation and started the tasks again.

Evidence: TestFormerLeaderRestartsTasksOfRestartedWorker failed before with a start of each task after its acknowledged end.

Change: the runs are marked as gone and given up once the store has confirmed the leadership at a later time.

--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -387,7 +387,7 @@
 		}
 		switch {
 		case run.token < e.Token:
-			r.giveUpRun(run, "the worker has restarted")
+			run.markGone(r.now, "the worker has restarted")
 		case !run.stopAnsweredAt.IsZero() && run.stopAnsweredAt.Before(e.SentAt):
 			r.giveUpRun(run, "stopped before it started")
 		case !run.unknownAt.IsZero() && run.unknownAt.Before(e.SentAt) && !run.stopping:
