dispatch: settle a predecessor's runs only after a confirmation

Cause: a new leader took a worker's list for complete although the worker had restarted after a successor of this leader had read it: the list then lacks the runs and the acknowledged ends of the earlier incarnation. The same holds for a worker that was replaced.

Evidence: TestFormerLeaderRestartsTasksOfUnreadRestartedWorker, new here, failed before with a start of each task after its acknowledged end.

Change: the runs of a predecessor on a worker count as known once the store has confirmed the leadership at a time after the worker listed them.

--- a/dispatch/formerleader_test.go
+++ b/dispatch/formerleader_test.go
@@ -84,3 +84,23 @@
 	sim.advance(10 * time.Second)
 	expectCompletedOnce(g, sim)
 }
+
+// A leader that is deposed itself reads a worker only after its successor has acknowledged the
+// ends there and the worker has restarted.
+func TestFormerLeaderRestartsTasksOfUnreadRestartedWorker(t *testing.T) {
+	g := NewWithT(t)
+	sim := newBusyWorker(g, 3*time.Second)
+	sim.nextReaches = func(w job.WorkerID) bool { return w != "w00" }
+	sim.startSuccessor(sim.now)
+	sim.advance(500 * time.Millisecond)
+	former := sim.isolateLeader(formerLeaderClaimGap, "w03")
+	sim.advance(2500 * time.Millisecond)
+	g.Expect(sim.acknowledged).NotTo(BeEmpty())
+	sim.workers["w00"].restart()
+	former.reaches = func(job.WorkerID) bool { return true }
+	sim.leader.reaches = func(job.WorkerID) bool { return false }
+	sim.advance(2 * time.Second)
+	sim.leader.reaches = nil
+	sim.advance(10 * time.Second)
+	expectCompletedOnce(g, sim)
+}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -62,7 +62,7 @@
 // count even while their registrations are missing, as after an outage of the store.
 func (r *Reducer) predecessorSettled() bool {
 	for _, w := range r.sortedWorkers {
-		if !w.wasListed && r.mayHavePredecessorRuns(w) {
+		if r.mayHavePredecessorRuns(w) {
 			return false
 		}
 	}
@@ -74,7 +74,7 @@
 func (r *Reducer) notePredecessorSettled() {
 	unread := 0
 	for _, w := range r.sortedWorkers {
-		if !w.wasListed {
+		if w.listedAt.IsZero() {
 			unread++
 		}
 	}
@@ -82,11 +82,15 @@
 }
 
 // mayHavePredecessorRuns reports whether runs of a predecessor may continue, or may have ended
-// in time, on a worker whose runs have not all been listed.
+// in time, on a worker without being known to this leader.
 func (r *Reducer) mayHavePredecessorRuns(w *worker) bool {
 	if r.loaded && !w.inherited {
 		return false
 	}
+	if !w.listedAt.IsZero() {
+		// The worker may have restarted after a successor had acknowledged ends.
+		return !r.confirmedAt.After(w.listedAt)
+	}
 	if w.moreEnds && !r.leaseHasExpired(w) {
 		return true
 	}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -20,7 +20,7 @@
 	clock          int64          // latest reading of its clock, in milliseconds
 	clockAt        time.Time      // when that reading arrived; zero before the first
 	wasRead        bool           // with this leader's token
-	wasListed      bool           // a reading has listed all its runs, active and ended
+	listedAt       time.Time      // when a reading first listed all its runs, active and ended; zero before
 	moreEnds       bool           // the last reading left ends out
 	unknownEnds    []job.EndedRun // of jobs that are not known, in the last reading
 	leaseEnd       time.Time      // until when its runs may continue, by the leader's clock
@@ -123,7 +123,7 @@
 // either, its state is dropped. A worker that this leader has not read may still have runs of
 // a predecessor and is kept for a while.
 func (r *Reducer) dropIfUnused(w *worker) {
-	if !w.unreachable || len(w.runs) > 0 || w.processedEnd != w.savedEnd || !w.wasListed && r.mayHavePredecessorRuns(w) {
+	if !w.unreachable || len(w.runs) > 0 || w.processedEnd != w.savedEnd || r.mayHavePredecessorRuns(w) {
 		return
 	}
 	if w.enrolled {
@@ -235,7 +235,8 @@
 		}
 		w.unreachable = true
 		if e.Replaced {
-			w.wasRead, w.wasListed, w.moreEnds = true, true, false
+			w.wasRead, w.moreEnds = true, false
+			w.markListed(r.now)
 			for _, run := range w.runs {
 				if run.orderedAt.Before(e.SentAt) {
 					run.markGone(r.now, "another incarnation answers at the worker's address")
@@ -294,7 +295,10 @@
 	r.reconcileRuns(w, e)
 	r.throttleFillers(w)
 	if e.Token == r.fence(w) {
-		w.wasRead, w.wasListed = true, w.wasListed || !w.moreEnds
+		w.wasRead = true
+		if !w.moreEnds {
+			w.markListed(r.now)
+		}
 	}
 	if w.processedEnd > w.savedEnd && len(r.unsavedJobs) == 0 && r.saveMarks == nil {
 		// None of the ends changed the durable state.
@@ -328,6 +332,13 @@
 	w.health, w.pace, w.fillerThrottle, w.orphans = health{}, pace{}, fillerThrottle{}, nil
 }
 
+// markListed records that all runs of the worker are known, or are gone with it.
+func (w *worker) markListed(now time.Time) {
+	if w.listedAt.IsZero() {
+		w.listedAt = now
+	}
+}
+
 // markGone records that the incarnation of the worker that had the run is gone.
 func (r *run) markGone(now time.Time, reason string) {
 	if r.goneAt.IsZero() {
