dispatch, instance: acknowledge no end of a job that the change feed may still report

A leader that did not know the job of an ended run took the job for gone 2.5 s after its own load, and acknowledged the end. Neither a silent change feed (store down, slow, or reading all rows again after 410) nor the time since the load tells that: the job may have been stored after the load, or long after it and started by a former leader beside this one. When the feed reported the job, its tasks started again although their ends as done had been acknowledged: callers saw work that was done and paid for run a second time (TWICE).

A job is stored before any of its tasks starts, and the store's answers are linearizable. So a read of the feed or of all rows that was sent after the end was listed returns the job, if there is one. The follower posts the time at which each answered read was sent (JobChangesRead), after the rows of that read, and an end is acknowledged only if that is later than the time at which it was first listed. While there is no such read, the worker keeps the end.

The simulated change feed is silent while a job is missing from it. The test "stops runs of a job that is not stored" names such a job with a field of its own, since the feed is read there; it expects the same.

--- a/dispatch/accept.go
+++ b/dispatch/accept.go
@@ -35,7 +35,7 @@
 		known.enrolled, known.inherited = true, true
 		delete(r.enrolling, known)
 	}
-	r.loaded, r.loadedAt = true, r.now
+	r.loaded = true
 	if r.retentionSeconds > 0 {
 		r.removeProgressWithoutJob(e.Progress)
 	}
--- a/dispatch/adopt.go
+++ b/dispatch/adopt.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"fuchsiacross/job"
@@ -17,6 +18,23 @@
 // its job within a few times the interval at which the feed is read.
 const orphanTimeout = 2500 * time.Millisecond
 
+// unknownEnd is the end of a run whose job this leader does not know. It is acknowledged once the
+// stored jobs have been read after it was first listed: its job was stored before its start.
+type unknownEnd struct {
+	end   job.EndedRun
+	since time.Time // when it was first listed
+}
+
+// unknownSince returns the time at which an end was first listed, which is now if it is not
+// among the ends that were unknown before.
+func unknownSince(before []unknownEnd, number int64, now time.Time) time.Time {
+	at, found := slices.BinarySearchFunc(before, number, func(u unknownEnd, n int64) int { return compare(u.end.Number, n) })
+	if !found {
+		return now
+	}
+	return before[at].since
+}
+
 // keepOrphan records a run of an unknown job. Its resource demand is unknown, so its worker
 // gets no tasks meanwhile. The run is stopped if the job does not become known in time.
 func (r *Reducer) keepOrphan(w *worker, running job.ActiveRun) {
@@ -46,9 +64,9 @@
 				r.adoptRun(w, orphan.running)
 			}
 		}
-		for _, end := range w.unknownEnds {
-			if end.Task.Job == j.job.ID {
-				r.handleEnd(w, end)
+		for _, unknown := range w.unknownEnds {
+			if unknown.end.Task.Job == j.job.ID {
+				r.handleEnd(w, unknown.end)
 			}
 		}
 	}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -391,7 +391,7 @@
 		sim.advance(200 * time.Millisecond)
 		sim.submit(newJob(1, "plain", job.Step{Tasks: 1, Demand: demand(12, 4), EstimateMilliseconds: 60_000}))
 		sim.advance(300 * time.Millisecond)
-		sim.missingFromLoad[id(1)] = true
+		sim.notStored[id(1)] = true
 		sim.loseLeader(300 * time.Millisecond)
 		sim.advance(6 * time.Second)
 		Expect(sim.workers["w00"].running).To(BeEmpty())
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -28,6 +28,10 @@
 		Job      job.Job
 		Notified bool
 	}
+	// JobChangesRead reports that the jobs that were stored before a time have been posted: a
+	// read of the store's change feed or of all rows was sent then and has been answered. It
+	// follows the events of that read.
+	JobChangesRead struct{ SentAt time.Time }
 	// CancelAccepted reports a stored cancellation.
 	CancelAccepted struct{ ID job.ID }
 	// ConfigurationChanged carries the latest configuration.
--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -105,7 +105,7 @@
 	predecessorVersion      int64
 	predecessorRunsUntil    time.Time // until when unknown runs of a predecessor may continue
 	loaded                  bool
-	loadedAt                time.Time
+	jobsReadAt              time.Time // jobs that were stored before this time are known
 	workersListed           bool
 	workersListedAt         time.Time
 	predecessorWasSettled   bool // whether predecessorSettled held in an earlier pass
@@ -211,6 +211,10 @@
 		r.offerJob(e.Job)
 	case JobAccepted:
 		r.acceptJob(e.Job, e.Notified)
+	case JobChangesRead:
+		if e.SentAt.After(r.jobsReadAt) {
+			r.jobsReadAt = e.SentAt
+		}
 	case CancelAccepted:
 		r.cancelJob(e.ID)
 	case ConfigurationChanged:
--- a/dispatch/simulation_test.go
+++ b/dispatch/simulation_test.go
@@ -43,7 +43,10 @@
 	nextReaches     func(job.WorkerID) bool                     // the workers that the next leader reaches; nil means all
 	acknowledged    map[job.TaskID]bool                         // tasks of which an end as done was acknowledged
 	enrolled        map[job.WorkerID]job.Worker
-	missingFromLoad map[job.ID]bool           // stored too late for the next leader's load
+	// missingFromLoad are jobs that are stored too late for the next leader's load. The change
+	// feed is silent until they are reported.
+	missingFromLoad map[job.ID]bool
+	notStored       map[job.ID]bool           // known to a former leader only
 	resubmitted     []job.ID                  // with a row in each home
 	serviceTail     func(*fakeWorker) float64 // tail latency of the services on a worker, in milliseconds
 	version         int64                     // of the store
@@ -145,7 +148,7 @@
 		start: start, now: start, random: rand.New(rand.NewPCG(1, 2)), queues: queues,
 		workers: map[job.WorkerID]*fakeWorker{}, lanes: map[string]time.Time{},
 		noteCounts: map[dispatch.NoteKind]int{},
-		jobs:       map[job.ID]job.Job{}, submittedAt: map[job.ID]time.Time{}, progress: map[job.ID]dispatch.Progress{}, furtherParts: map[dispatch.ProgressPart]dispatch.Progress{}, enrolled: map[job.WorkerID]job.Worker{}, missingFromLoad: map[job.ID]bool{},
+		jobs:       map[job.ID]job.Job{}, submittedAt: map[job.ID]time.Time{}, progress: map[job.ID]dispatch.Progress{}, furtherParts: map[dispatch.ProgressPart]dispatch.Progress{}, enrolled: map[job.WorkerID]job.Worker{}, missingFromLoad: map[job.ID]bool{}, notStored: map[job.ID]bool{},
 		acknowledged: map[job.TaskID]bool{},
 		completedAt:  map[job.ID]time.Time{}, startedAt: map[job.ID]time.Time{}, allows: allowTwoThirds,
 		laneCount:      defaultLaneCount,
@@ -217,6 +220,14 @@
 		if !sim.storeDown && !l.cutOff {
 			sim.confirmLeadership()
 			sim.applyTo(l, dispatch.LeadershipConfirmed{At: sim.now, Version: sim.confirmed})
+			if len(sim.missingFromLoad) == 0 {
+				sentAt := sim.now
+				sim.schedule(storeDelay, func() {
+					if !l.ended {
+						sim.applyTo(l, dispatch.JobChangesRead{SentAt: sentAt})
+					}
+				})
+			}
 		}
 		sim.applyTo(l, dispatch.Tick{})
 		sim.schedule(25*time.Millisecond, tick)
@@ -275,7 +286,7 @@
 func (sim *simulation) storedState() dispatch.JobsLoaded {
 	loaded := dispatch.JobsLoaded{Cancels: sim.cancels, Resubmitted: sim.resubmitted, Workers: slices.Collect(maps.Values(sim.enrolled))}
 	for _, j := range sim.jobs {
-		if !sim.missingFromLoad[j.ID] {
+		if !sim.missingFromLoad[j.ID] && !sim.notStored[j.ID] {
 			loaded.Jobs = append(loaded.Jobs, j)
 		}
 	}
@@ -330,6 +341,7 @@
 
 // reportStoreChange reports a job to the leader through the store's change feed.
 func (sim *simulation) reportStoreChange(id job.ID) {
+	delete(sim.missingFromLoad, id)
 	sim.apply(dispatch.JobAccepted{Job: sim.jobs[id]})
 }
 
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -17,13 +17,13 @@
 	used           model.Resources
 	runs           map[runKey]*run
 	startTime      int64
-	clock          int64          // latest reading of its clock, in milliseconds
-	clockAt        time.Time      // when that reading arrived; zero before the first
-	wasRead        bool           // with this leader's token
-	wasListed      bool           // a reading has listed all its runs, active and ended
-	moreEnds       bool           // the last reading left ends out
-	unknownEnds    []job.EndedRun // of jobs that are not known, in the last reading
-	leaseEnd       time.Time      // until when its runs may continue, by the leader's clock
+	clock          int64        // latest reading of its clock, in milliseconds
+	clockAt        time.Time    // when that reading arrived; zero before the first
+	wasRead        bool         // with this leader's token
+	wasListed      bool         // a reading has listed all its runs, active and ended
+	moreEnds       bool         // the last reading left ends out
+	unknownEnds    []unknownEnd // of jobs that are not known, in the last reading
+	leaseEnd       time.Time    // until when its runs may continue, by the leader's clock
 	health         health
 	pace           pace
 	fillerThrottle fillerThrottle
@@ -267,16 +267,20 @@
 	}
 	slices.SortFunc(e.Reading.Ended, func(a, b job.EndedRun) int { return compare(a.Number, b.Number) })
 	delay := endsReadDelay
+	unknownBefore := w.unknownEnds
 	w.unknownEnds = nil
 	for _, end := range e.Reading.Ended {
 		if end.Number <= w.processedEnd {
 			continue
 		}
-		if r.jobs[end.Task.Job] == nil && r.now.Sub(r.loadedAt) < orphanTimeout {
-			// The worker would forget the end before its job is known. Later ends are applied
-			// with each reading until then.
-			w.unknownEnds = append(w.unknownEnds, end)
-			continue
+		if r.jobs[end.Task.Job] == nil {
+			since := unknownSince(unknownBefore, end.Number, r.now)
+			if !r.jobsReadAt.After(since) {
+				// The worker would forget the end before its job is known. Later ends are
+				// applied with each reading until then.
+				w.unknownEnds = append(w.unknownEnds, unknownEnd{end, since})
+				continue
+			}
 		}
 		if w.unknownEnds == nil {
 			w.processedEnd = end.Number
@@ -321,7 +325,7 @@
 		w.wasRead, w.readSoon = false, true
 	}
 	w.startTime, w.processedEnd, w.savedEnd = e.Reading.StartTime, 0, 0
-	w.health, w.pace, w.fillerThrottle, w.orphans = health{}, pace{}, fillerThrottle{}, nil
+	w.health, w.pace, w.fillerThrottle, w.orphans, w.unknownEnds = health{}, pace{}, fillerThrottle{}, nil, nil
 }
 
 // giveUpRuns gives up the runs of a worker that were ordered before a time.
--- a/instance/follow.go
+++ b/instance/follow.go
@@ -21,9 +21,23 @@
 
 // followJobs loads the jobs as of minVersion or later and then posts each change.
 func (l *leadership) followJobs(minVersion int64) {
+	changed := false
 	f := store.Follower{
-		Client: l.instance.store, Table: l.shard.jobs.JobTable(), OnChange: l.applyJobRows, OnResult: l.instance.recordStoreCall,
+		Client: l.instance.store, Table: l.shard.jobs.JobTable(), OnResult: l.instance.recordStoreCall,
 		OnSnapshot: func([]store.Row) {},
+		OnChange: func(rows []store.Row) {
+			l.applyJobRows(rows)
+			changed = true
+		},
+		OnRead: func(sentAt time.Time) {
+			l.post(dispatch.JobChangesRead{SentAt: sentAt})
+			if changed {
+				// The instances notify the leader of what they store. The changes only cover
+				// what they could not report, so their next read can wait.
+				sleep(l.ctx, jobChangesInterval)
+				changed = false
+			}
+		},
 		Read: func(ctx context.Context) ([]store.Row, int64, error) {
 			ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 			defer cancel()
@@ -57,9 +71,6 @@
 			l.post(dispatch.CancelAccepted{ID: change.Cancelled})
 		}
 	}
-	// The instances notify the leader of what they store. The changes only cover what they
-	// could not report, so their next read can wait.
-	sleep(l.ctx, jobChangesInterval)
 }
 
 // followWorkers posts the registrations of the shard's workers and their removals.
