dispatch: stop no run of a job that the change feed may still report

A leader stopped a run whose job it did not know 2.5 s after it had listed it, by its own clock, also while the change feed was silent. The job may have been stored after the leader's load, so that the work of its runs was lost and its tasks started again when the feed answered: callers waited for the whole task once more.

Before, in virtual time (two tasks of 4 s):

TestRunOfUnknownJobIsStoppedWhileFeedIsSilent unknownjob_test.go:68: starts: Expected <int>: 4 to equal <int>: 2

The run is stopped once the stored jobs have been read after it was first listed, which shows that there is no such job. A time besides that has no reason any more, so runs of jobs that are really gone stop sooner than before while the feed answers.

--- a/dispatch/adopt.go
+++ b/dispatch/adopt.go
@@ -11,13 +11,9 @@
 // the others were read, and started by a predecessor that was still notified of it.
 type orphanRun struct {
 	running job.ActiveRun
-	since   time.Time
+	since   time.Time // when it was first listed
 }
 
-// orphanTimeout is how long a run of an unknown job is kept. The store's change feed reports
-// its job within a few times the interval at which the feed is read.
-const orphanTimeout = 2500 * time.Millisecond
-
 // unknownEnd is the end of a run whose job this leader does not know. It is acknowledged once the
 // stored jobs have been read after it was first listed: its job was stored before its start.
 type unknownEnd struct {
@@ -36,7 +32,8 @@
 }
 
 // keepOrphan records a run of an unknown job. Its resource demand is unknown, so its worker
-// gets no tasks meanwhile. The run is stopped if the job does not become known in time.
+// gets no tasks meanwhile. The run is stopped once the stored jobs have been read after it was
+// first listed: its job was stored before its start.
 func (r *Reducer) keepOrphan(w *worker, running job.ActiveRun) {
 	key := runKey{running.Task, running.Run}
 	if w.orphans == nil {
@@ -49,7 +46,7 @@
 	}
 	orphan.running = running
 	w.orphans[key] = orphan
-	if r.now.Sub(orphan.since) > orphanTimeout {
+	if r.jobsReadAt.After(orphan.since) {
 		r.effects.Stops = append(r.effects.Stops, StopRun{Worker: w.registration, Token: r.fence(w), Task: running.Task, Run: running.Run})
 	}
 }
--- a/dispatch/unknownjob_test.go
+++ b/dispatch/unknownjob_test.go
@@ -57,3 +57,13 @@
 	expectCompletedOnce(g, sim)
 	g.Expect(sim.noteCounts[dispatch.NoteRunOrdered]).To(Equal(1))
 }
+
+func TestRunOfUnknownJobIsStoppedWhileFeedIsSilent(t *testing.T) {
+	g := NewWithT(t)
+	sim := newUnknownJob(4 * time.Second)
+	sim.advance(4 * time.Second)
+	sim.reportStoreChange(id(1))
+	sim.advance(8 * time.Second)
+	expectCompletedOnce(g, sim)
+	g.Expect(sim.noteCounts[dispatch.NoteRunOrdered]).To(Equal(2))
+}
