dispatch: extend the lease of runs of jobs that are not known yet

A leader extended the lease only of workers with runs that it knows. If the change feed was silent for longer than the lease that the starter had granted, the runs of a job that was stored after the leader's load lapsed: their work was lost, and callers waited for the tasks again.

Before, in virtual time (two tasks of 8 s, feed silent for 6 s):

TestLeaseOfUnknownJobExpiresWhileFeedIsSilent Expected <job.State>: running to equal <job.State>: completed

A leader that may extend leases now extends them for listed runs of unknown jobs too. These are stopped when the feed shows that there is no such job.

--- a/dispatch/unknownjob_test.go
+++ b/dispatch/unknownjob_test.go
@@ -67,3 +67,14 @@
 	expectCompletedOnce(g, sim)
 	g.Expect(sim.noteCounts[dispatch.NoteRunOrdered]).To(Equal(2))
 }
+
+// The runs go on for longer than the lease that their starter has granted.
+func TestLeaseOfUnknownJobExpiresWhileFeedIsSilent(t *testing.T) {
+	g := NewWithT(t)
+	sim := newUnknownJob(8 * time.Second)
+	sim.advance(6 * time.Second)
+	sim.reportStoreChange(id(1))
+	sim.advance(8 * time.Second)
+	expectCompletedOnce(g, sim)
+	g.Expect(sim.noteCounts[dispatch.NoteRunOrdered]).To(Equal(2))
+}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -169,7 +169,7 @@
 			// The worker may have restarted and number its ends anew.
 			read.AcknowledgedEnd = 0
 		}
-		if w.wasRead && !w.unreachable && len(w.runs) > 0 && r.isAuthorised() {
+		if w.wasRead && !w.unreachable && len(w.runs)+len(w.orphans) > 0 && r.isAuthorised() {
 			end := r.leaseEnd()
 			read.Deadline = w.toWorkerClock(end)
 			w.extendLease(r.now, end)
