dispatch: keep a worker that has listed runs or ends of unknown jobs

A leader forgot a worker that did not answer and had no runs, even if its last reading listed runs or ends of jobs that the leader did not know yet. It also removed the worker's enrolment, so that no later leader waited for it. When the change feed reported the job, its tasks started elsewhere beside the runs, or after their ends as done (TWICE). It needs a worker whose registration has lapsed, as in an outage of the store, and a feed that is silent for as long as a reading takes to fail.

Before, in virtual time:

The worker is kept until the stored jobs have been read after the runs and ends were first listed. From then on they belong to known jobs, or to none.

--- a/dispatch/adopt.go
+++ b/dispatch/adopt.go
@@ -51,6 +51,16 @@
 	}
 }
 
+// awaitsJobs reports whether a worker has listed runs or ends whose jobs may still become known.
+func (r *Reducer) awaitsJobs(w *worker) bool {
+	for _, orphan := range w.orphans {
+		if !r.jobsReadAt.After(orphan.since) {
+			return true
+		}
+	}
+	return slices.ContainsFunc(w.unknownEnds, func(u unknownEnd) bool { return !r.jobsReadAt.After(u.since) })
+}
+
 // adoptOrphans takes over the orphaned runs of a job that has become known, and applies the
 // ends that are waiting for it.
 func (r *Reducer) adoptOrphans(j *jobState) {
--- a/dispatch/unknownjob_test.go
+++ b/dispatch/unknownjob_test.go
@@ -78,3 +78,32 @@
 	expectCompletedOnce(g, sim)
 	g.Expect(sim.noteCounts[dispatch.NoteRunOrdered]).To(Equal(2))
 }
+
+// The worker's registration has lapsed, and after the reading that lists the runs it does not
+// answer any more.
+func TestRunOfUnknownJobIsForgottenWithItsWorker(t *testing.T) {
+	g := NewWithT(t)
+	sim := newUnknownJob(6 * time.Second)
+	g.Expect(sim.workers["w00"].running).To(HaveLen(2))
+	sim.workers["w00"].unregistered = true
+	sim.advance(time.Second)
+	sim.leader.reaches = func(w job.WorkerID) bool { return w != "w00" }
+	sim.advance(3 * time.Second)
+	sim.reportStoreChange(id(1))
+	sim.advance(15 * time.Second)
+	expectCompletedOnce(g, sim)
+}
+
+// The same with the ends of the runs.
+func TestEndOfUnknownJobIsForgottenWithItsWorker(t *testing.T) {
+	g := NewWithT(t)
+	sim := newUnknownJob(800 * time.Millisecond)
+	sim.workers["w00"].unregistered = true
+	sim.advance(1500 * time.Millisecond)
+	g.Expect(sim.workers["w00"].endedRuns).To(HaveLen(2))
+	sim.leader.reaches = func(w job.WorkerID) bool { return w != "w00" }
+	sim.advance(3 * time.Second)
+	sim.reportStoreChange(id(1))
+	sim.advance(15 * time.Second)
+	expectCompletedOnce(g, sim)
+}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -121,9 +121,10 @@
 // dropIfUnused unenrolls a worker that does not answer and has no runs, so that no later
 // leader waits for it. It is enrolled again before its next run. If it is not registered
 // either, its state is dropped. A worker that this leader has not read may still have runs of
-// a predecessor and is kept for a while.
+// a predecessor and is kept for a while, one with runs or ends of unknown jobs until the stored
+// jobs have been read.
 func (r *Reducer) dropIfUnused(w *worker) {
-	if !w.unreachable || len(w.runs) > 0 || w.processedEnd != w.savedEnd || !w.wasListed && r.mayHavePredecessorRuns(w) {
+	if !w.unreachable || len(w.runs) > 0 || w.processedEnd != w.savedEnd || !w.wasListed && r.mayHavePredecessorRuns(w) || r.awaitsJobs(w) {
 		return
 	}
 	if w.enrolled {
