--- a/dispatch/adopt.go
+++ b/dispatch/adopt.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"fuchsiacross/job"
@@ -10,15 +11,29 @@
 // the others were read, and started by a predecessor that was still notified of it.
 type orphanRun struct {
 	running job.ActiveRun
-	since   time.Time
+	since   time.Time // when it was first listed
 }
 
-// orphanTimeout is how long a run of an unknown job is kept. The store's change feed reports
-// its job within a few times the interval at which the feed is read.
-const orphanTimeout = 2500 * time.Millisecond
+// unknownEnd is the end of a run whose job this leader does not know. It is acknowledged once the
+// stored jobs have been read after it was first listed: its job was stored before its start.
+type unknownEnd struct {
+	end   job.EndedRun
+	since time.Time // when it was first listed
+}
+
+// unknownSince returns the time at which an end was first listed, which is now if it is not
+// among the ends that were unknown before.
+func unknownSince(before []unknownEnd, number int64, now time.Time) time.Time {
+	at, found := slices.BinarySearchFunc(before, number, func(u unknownEnd, n int64) int { return compare(u.end.Number, n) })
+	if !found {
+		return now
+	}
+	return before[at].since
+}
 
 // keepOrphan records a run of an unknown job. Its resource demand is unknown, so its worker
-// gets no tasks meanwhile. The run is stopped if the job does not become known in time.
+// gets no tasks meanwhile. The run is stopped once the stored jobs have been read after it was
+// first listed: its job was stored before its start.
 func (r *Reducer) keepOrphan(w *worker, running job.ActiveRun) {
 	key := runKey{running.Task, running.Run}
 	if w.orphans == nil {
@@ -31,11 +46,21 @@
 	}
 	orphan.running = running
 	w.orphans[key] = orphan
-	if r.now.Sub(orphan.since) > orphanTimeout {
+	if r.jobsReadAt.After(orphan.since) {
 		r.effects.Stops = append(r.effects.Stops, StopRun{Worker: w.registration, Token: r.fence(w), Task: running.Task, Run: running.Run})
 	}
 }
 
+// awaitsJobs reports whether a worker has listed runs or ends whose jobs may still become known.
+func (r *Reducer) awaitsJobs(w *worker) bool {
+	for _, orphan := range w.orphans {
+		if !r.jobsReadAt.After(orphan.since) {
+			return true
+		}
+	}
+	return slices.ContainsFunc(w.unknownEnds, func(u unknownEnd) bool { return !r.jobsReadAt.After(u.since) })
+}
+
 // adoptOrphans takes over the orphaned runs of a job that has become known, and applies the
 // ends that are waiting for it.
 func (r *Reducer) adoptOrphans(j *jobState) {
@@ -46,9 +71,9 @@
 				r.adoptRun(w, orphan.running)
 			}
 		}
-		for _, end := range w.unknownEnds {
-			if end.Task.Job == j.job.ID {
-				r.handleEnd(w, end)
+		for _, unknown := range w.unknownEnds {
+			if unknown.end.Task.Job == j.job.ID {
+				r.handleEnd(w, unknown.end)
 			}
 		}
 	}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -17,13 +17,13 @@
 	used           model.Resources
 	runs           map[runKey]*run
 	startTime      int64
-	clock          int64          // latest reading of its clock, in milliseconds
-	clockAt        time.Time      // when that reading arrived; zero before the first
-	wasRead        bool           // with this leader's token
-	listedAt       time.Time      // when a reading first listed all its runs, active and ended; zero before
-	moreEnds       bool           // the last reading left ends out
-	unknownEnds    []job.EndedRun // of jobs that are not known, in the last reading
-	leaseEnd       time.Time      // until when its runs may continue, by the leader's clock
+	clock          int64        // latest reading of its clock, in milliseconds
+	clockAt        time.Time    // when that reading arrived; zero before the first
+	wasRead        bool         // with this leader's token
+	listedAt       time.Time    // when a reading first listed all its runs, active and ended; zero before
+	moreEnds       bool         // the last reading left ends out
+	unknownEnds    []unknownEnd // of jobs that are not known, in the last reading
+	leaseEnd       time.Time    // until when its runs may continue, by the leader's clock
 	health         health
 	pace           pace
 	fillerThrottle fillerThrottle
@@ -121,9 +121,10 @@
 // dropIfUnused unenrolls a worker that does not answer and has no runs, so that no later
 // leader waits for it. It is enrolled again before its next run. If it is not registered
 // either, its state is dropped. A worker that this leader has not read may still have runs of
-// a predecessor and is kept for a while.
+// a predecessor and is kept for a while, one with runs or ends of unknown jobs until the stored
+// jobs have been read.
 func (r *Reducer) dropIfUnused(w *worker) {
-	if !w.unreachable || len(w.runs) > 0 || w.processedEnd != w.savedEnd || r.mayHavePredecessorRuns(w) {
+	if !w.unreachable || len(w.runs) > 0 || w.processedEnd != w.savedEnd || r.mayHavePredecessorRuns(w) || r.awaitsJobs(w) {
 		return
 	}
 	if w.enrolled {
@@ -169,7 +170,7 @@
 			// The worker may have restarted and number its ends anew.
 			read.AcknowledgedEnd = 0
 		}
-		if w.wasRead && !w.unreachable && len(w.runs) > 0 && r.isAuthorised() {
+		if w.wasRead && !w.unreachable && len(w.runs)+len(w.orphans) > 0 && r.isAuthorised() {
 			end := r.leaseEnd()
 			read.Deadline = w.toWorkerClock(end)
 			w.extendLease(r.now, end)
@@ -272,16 +273,20 @@
 	}
 	slices.SortFunc(e.Reading.Ended, func(a, b job.EndedRun) int { return compare(a.Number, b.Number) })
 	delay := endsReadDelay
+	unknownBefore := w.unknownEnds
 	w.unknownEnds = nil
 	for _, end := range e.Reading.Ended {
 		if end.Number <= w.processedEnd {
 			continue
 		}
-		if r.jobs[end.Task.Job] == nil && r.now.Sub(r.loadedAt) < orphanTimeout {
-			// The worker would forget the end before its job is known. Later ends are applied
-			// with each reading until then.
-			w.unknownEnds = append(w.unknownEnds, end)
-			continue
+		if r.jobs[end.Task.Job] == nil {
+			since := unknownSince(unknownBefore, end.Number, r.now)
+			if !r.jobsReadAt.After(since) {
+				// The worker would forget the end before its job is known. Later ends are
+				// applied with each reading until then.
+				w.unknownEnds = append(w.unknownEnds, unknownEnd{end, since})
+				continue
+			}
 		}
 		if w.unknownEnds == nil {
 			w.processedEnd = end.Number
@@ -329,7 +334,7 @@
 		w.wasRead, w.readSoon = false, true
 	}
 	w.startTime, w.processedEnd, w.savedEnd = e.Reading.StartTime, 0, 0
-	w.health, w.pace, w.fillerThrottle, w.orphans = health{}, pace{}, fillerThrottle{}, nil
+	w.health, w.pace, w.fillerThrottle, w.orphans, w.unknownEnds = health{}, pace{}, fillerThrottle{}, nil, nil
 }
 
 // markListed records that all runs of the worker are known, or are gone with it.
