dispatch: start nothing on an incarnation that may be younger than a successor

What callers saw: nothing yet; found in review as a path of the same cause.

Cause: a worker that restarts forgets the successor's token. A former leader that reads the new incarnation could start tasks there that it had not started before, such as due occurrences, while the successor runs them elsewhere. A new worker, which no leader has ordered at, is no different.

Change: a task starts on a worker once the store has confirmed the leadership at a time after the worker's incarnation was first read. Advice is still requested before.

--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -199,6 +199,11 @@
 	}
 }
 
+// mayStartOn reports whether tasks may start on a worker that accepts runs. An incarnation that
+// started after a successor's claim does not know the successor's token yet, and would accept a
+// task that the successor has started elsewhere.
+func (r *Reducer) mayStartOn(w *worker) bool { return r.confirmedAt.After(w.incarnationAt) }
+
 // acceptsRuns reports whether a worker can get new runs at all.
 func (r *Reducer) acceptsRuns(w *worker) bool {
 	return w.registered && w.enrolled && len(w.orphans) == 0 && !w.registration.Leaving && w.wasRead && !w.unreachable &&
@@ -249,7 +254,7 @@
 	p.places = p.places[:0]
 	total := 0
 	p.eachEligible(s, func(w *worker, t *ticket) {
-		if !demand.Fits(w.uncommitted) {
+		if !demand.Fits(w.uncommitted) || !p.mayStartOn(w) {
 			return
 		}
 		if w.reservedFor != nil && w.reservedFor != s && s.job.queue.Priority > urgentPriority &&
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -17,6 +17,7 @@
 	used           model.Resources
 	runs           map[runKey]*run
 	startTime      int64
+	incarnationAt  time.Time    // when its incarnation was first read; zero before
 	clock          int64        // latest reading of its clock, in milliseconds
 	clockAt        time.Time    // when that reading arrived; zero before the first
 	wasRead        bool         // with this leader's token
@@ -333,7 +334,7 @@
 		r.usedTokens[e.ID]++
 		w.wasRead, w.readSoon = false, true
 	}
-	w.startTime, w.processedEnd, w.savedEnd = e.Reading.StartTime, 0, 0
+	w.startTime, w.incarnationAt, w.processedEnd, w.savedEnd = e.Reading.StartTime, r.now, 0, 0
 	w.health, w.pace, w.fillerThrottle, w.orphans, w.unknownEnds = health{}, pace{}, fillerThrottle{}, nil, nil
 }
 
