dispatch: write the leader's row when a decision waits for a confirmation

Cause: since a lease that has expired, a lost incarnation or a worker's first list count only with a later confirmation, tasks waited for the periodic one as well, up to 150 ms after each change of leader.

Change: the reducer saves at once, without changes if there are none, when such a moment has come. One save is open at a time, as before. The simulation confirms the leadership with each save, as the saver does.

Measured: TestTasksOfLostWorkerWaitForPeriodicConfirmation, new here, fails without the change (no run given up 4.9 s after the loss without periodic confirmations) and passes with it; the specs of dispatch and instance pass.

--- a/dispatch/lostworker_test.go
+++ b/dispatch/lostworker_test.go
@@ -54,3 +54,14 @@
 		})
 	}
 }
+
+// The leader's row is written when a decision waits for it, not only at intervals.
+func TestTasksOfLostWorkerWaitForPeriodicConfirmation(t *testing.T) {
+	g := NewWithT(t)
+	sim := newBusyWorker(g, 8*time.Second)
+	sim.onlySavesConfirm = true
+	sim.workers["w00"].unreachable = true
+	sim.advance(4900 * time.Millisecond)
+	g.Expect(sim.noteCounts[dispatch.NoteRunGivenUp]).To(Equal(4))
+	g.Expect(sim.violations).To(BeEmpty())
+}
--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -102,6 +102,7 @@
 	nextRun                 int64
 	confirmedAt             time.Time
 	confirmedVersion        int64
+	toBeConfirmed           time.Time // the latest time of which a decision awaits a confirmation
 	predecessorVersion      int64
 	predecessorRunsUntil    time.Time // until when unknown runs of a predecessor may continue
 	loaded                  bool
--- a/dispatch/save.go
+++ b/dispatch/save.go
@@ -40,10 +40,20 @@
 	storedParts int // before the save
 }
 
-// startSave saves pending changes, one save at a time.
+// awaitConfirmation requests a confirmation of the leadership from after a time, instead of
+// waiting for the periodic one. It is called when that time has come.
+func (r *Reducer) awaitConfirmation(of time.Time) {
+	if of.After(r.toBeConfirmed) {
+		r.toBeConfirmed = of
+	}
+}
+
+// startSave saves pending changes, one save at a time. A save without changes confirms the
+// leadership.
 func (r *Reducer) startSave() {
 	changes := len(r.unsavedJobs) + len(r.enrolling) + len(r.unenrolling) + len(r.progressRemovals)
-	if !r.loaded || r.saveMarks != nil || changes == 0 || r.now.Sub(r.lastSaveAt) < max(saveInterval, saveIntervalPerLeader*time.Duration(r.leaderCount)) {
+	needed := changes > 0 || !r.confirmedAt.After(r.toBeConfirmed)
+	if !r.loaded || r.saveMarks != nil || !needed || r.now.Sub(r.lastSaveAt) < max(saveInterval, saveIntervalPerLeader*time.Duration(r.leaderCount)) {
 		return
 	}
 	r.saveNumber++
--- a/dispatch/simulation_test.go
+++ b/dispatch/simulation_test.go
@@ -40,9 +40,11 @@
 	furtherParts    map[dispatch.ProgressPart]dispatch.Progress // of jobs with several parts
 	maxRowBytes     int                                         // limit of the store; zero means none
 	rejectsProgress func(dispatch.Progress) bool                // the store rejects a save that contains it
-	nextReaches     func(job.WorkerID) bool                     // the workers that the next leader reaches; nil means all
-	acknowledged    map[job.TaskID]bool                         // tasks of which an end as done was acknowledged
-	enrolled        map[job.WorkerID]job.Worker
+	// onlySavesConfirm suspends the periodic confirmations of the leadership.
+	onlySavesConfirm bool
+	nextReaches      func(job.WorkerID) bool // the workers that the next leader reaches; nil means all
+	acknowledged     map[job.TaskID]bool     // tasks of which an end as done was acknowledged
+	enrolled         map[job.WorkerID]job.Worker
 	// missingFromLoad are jobs that are stored too late for the next leader's load. The change
 	// feed is silent until they are reported.
 	missingFromLoad map[job.ID]bool
@@ -217,7 +219,7 @@
 		if l.ended {
 			return
 		}
-		if !sim.storeDown && !l.cutOff {
+		if !sim.storeDown && !sim.onlySavesConfirm && !l.cutOff {
 			sim.confirmLeadership()
 			sim.applyTo(l, dispatch.LeadershipConfirmed{At: sim.now, Version: sim.confirmed})
 			if len(sim.missingFromLoad) == 0 {
@@ -420,6 +422,7 @@
 }
 
 func (sim *simulation) executeSave(l *leader, s dispatch.Save, applyIfLeading func(any)) {
+	sentAt := sim.now
 	sim.schedule(storeDelay, func() {
 		if l.cutOff {
 			return // a successor claims before the leader reaches the store again
@@ -452,6 +455,10 @@
 		for _, id := range s.Unenrolled {
 			delete(sim.enrolled, id)
 		}
+		if !l.ended {
+			sim.confirmLeadership()
+		}
+		applyIfLeading(dispatch.LeadershipConfirmed{At: sentAt, Version: sim.confirmed})
 		applyIfLeading(dispatch.Saved{Number: s.Number})
 		if sim.reducer == nil {
 			return
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -238,10 +238,10 @@
 		w.unreachable = true
 		if e.Replaced {
 			w.wasRead, w.moreEnds = true, false
-			w.markListed(r.now)
+			r.markListed(w)
 			for _, run := range w.runs {
 				if run.orderedAt.Before(e.SentAt) {
-					run.markGone(r.now, "another incarnation answers at the worker's address")
+					r.markGone(run, "another incarnation answers at the worker's address")
 				}
 			}
 		}
@@ -303,7 +303,7 @@
 	if e.Token == r.fence(w) {
 		w.wasRead = true
 		if !w.moreEnds {
-			w.markListed(r.now)
+			r.markListed(w)
 		}
 	}
 	if w.processedEnd > w.savedEnd && len(r.unsavedJobs) == 0 && r.saveMarks == nil {
@@ -334,21 +334,24 @@
 		r.usedTokens[e.ID]++
 		w.wasRead, w.readSoon = false, true
 	}
+	r.awaitConfirmation(r.now)
 	w.startTime, w.incarnationAt, w.processedEnd, w.savedEnd = e.Reading.StartTime, r.now, 0, 0
 	w.health, w.pace, w.fillerThrottle, w.orphans, w.unknownEnds = health{}, pace{}, fillerThrottle{}, nil, nil
 }
 
 // markListed records that all runs of the worker are known, or are gone with it.
-func (w *worker) markListed(now time.Time) {
+func (r *Reducer) markListed(w *worker) {
 	if w.listedAt.IsZero() {
-		w.listedAt = now
+		w.listedAt = r.now
+		r.awaitConfirmation(r.now)
 	}
 }
 
 // markGone records that the incarnation of the worker that had the run is gone.
-func (r *run) markGone(now time.Time, reason string) {
-	if r.goneAt.IsZero() {
-		r.goneAt, r.goneReason = now, reason
+func (r *Reducer) markGone(run *run, reason string) {
+	if run.goneAt.IsZero() {
+		run.goneAt, run.goneReason = r.now, reason
+		r.awaitConfirmation(r.now)
 	}
 }
 
@@ -357,6 +360,9 @@
 // out.
 func (r *Reducer) giveUpEndedRuns(w *worker) {
 	expired := r.leaseHasExpired(w)
+	if w.unreachable && len(w.runs) > 0 && r.now.After(w.leaseEnd) {
+		r.awaitConfirmation(w.leaseEnd)
+	}
 	for _, run := range w.runs {
 		switch {
 		case !run.goneAt.IsZero() && r.confirmedAt.After(run.goneAt):
@@ -404,7 +410,7 @@
 		}
 		switch {
 		case run.token < e.Token:
-			run.markGone(r.now, "the worker has restarted")
+			r.markGone(run, "the worker has restarted")
 		case !run.stopAnsweredAt.IsZero() && run.stopAnsweredAt.Before(e.SentAt):
 			r.giveUpRun(run, "stopped before it started")
 		case !run.unknownAt.IsZero() && run.unknownAt.Before(e.SentAt) && !run.stopping:
