scheduler: failing test of a result that a former holder acknowledges

The worker drops the result. Seen: an at-most-once job that succeeded is settled as failed, "the result was acknowledged and dropped".

--- /dev/null
+++ b/scheduler/former_holder_test.go
@@ -0,0 +1,65 @@
+package scheduler_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"fuchsiacross/model"
+)
+
+// endAttempts ends all running attempts at a task of a request successfully.
+func (c *testCell) endAttempts(id model.RequestID, task uint32) {
+	for _, w := range c.workers {
+		for a := range w.tasks {
+			if a.Request == id && a.Task == task {
+				w.end(a, model.TaskFinished, true)
+			}
+		}
+	}
+}
+
+var _ = Describe("former holders of a partition", func() {
+	var c *testCell
+	BeforeEach(func() {
+		c = newTestCell(7, 3, 4, smallWorker)
+		c.run(2 * time.Second)
+	})
+	AfterEach(func() { Expect(c.recorder.faults).To(BeEmpty()) })
+
+	// isolateHolder cuts the holder of a partition off from the store and from all
+	// instances until another has claimed the partition.
+	isolateHolder := func(id model.RequestID) *node {
+		former := c.partitionHolder(id)
+		c.cutLink(former.name(), "store")
+		for _, n := range c.nodes {
+			if n != former {
+				c.cutLinkBothWays(former.name(), n.name())
+			}
+		}
+		Expect(c.runUntil(5*time.Second, func() bool { return c.partitionHolder(id) != former })).To(BeTrue())
+		c.run(time.Second)
+		return former
+	}
+	// reconnect ends all cuts but that between an instance and the store.
+	reconnect := func(n *node) {
+		clear(c.cutLinks)
+		c.cutLink(n.name(), "store")
+		c.run(1500 * time.Millisecond)
+	}
+
+	It("lose no result of a request that the next holder has accepted", func() {
+		q := c.newRequest("later", model.KindBatch, model.ClassStandard, false, 0)
+		former := isolateHolder(q.ID)
+		c.otherInstance(former).submit(q, false)
+		Expect(c.runUntil(2*time.Second, func() bool { return c.startCount(q.ID) == 1 })).To(BeTrue())
+		reconnect(former)
+		c.endAttempts(q.ID, 0)
+		c.run(2 * time.Second)
+		clear(c.cutLinks)
+		Expect(c.runUntil(40*time.Second, func() bool { return c.journaledStatus(q.ID) != 0 })).To(BeTrue())
+		Expect(c.journaledStatus(q.ID)).To(Equal(model.StatusDone))
+		Expect(c.startCount(q.ID)).To(Equal(1))
+	})
+})
