home: confirm the partition before the result of an unknown request is dropped

Its successor may have accepted the request.

Change: the result is acknowledged only once an append that was sent after its arrival has been committed. If none is due, a claim is appended. The owner repeats the result until then.

--- a/home/partition.go
+++ b/home/partition.go
@@ -69,6 +69,8 @@
 	nextVerifyAt      time.Time    // when ownership is verified next
 	lastReclaimAt     time.Time    // last claim made because another instance announced that it holds the partition
 	latestCommit      event.CallID // last append or compaction
+	unconfirmed       []confirmation
+	confirming        []confirmation // those that the outstanding write confirms
 }
 
 // parkedSubmission is a submission that waits until its partition is claimed.
@@ -119,6 +121,8 @@
 		p.relinquish(now, "another instance is preferred")
 		return
 	}
+	p.expireConfirmations(now)
+	p.requestConfirmation(now)
 	p.verifyOwnership(now)
 	p.stepRecovery(now)
 	p.queryUnansweredPeers(now)
@@ -223,6 +227,7 @@
 	p.table.Counters.Commits++
 	p.table.Counters.Records += uint64(len(batch.Records))
 	p.latestCommit = p.table.opts.NextCall()
+	p.startConfirming()
 	p.table.opts.Emit(event.CommitJournal{CommitID: p.latestCommit, Partition: p.id, Version: batch.Version, Records: batch.Records})
 }
 
@@ -236,6 +241,7 @@
 		return
 	}
 	p.latestCommit = p.table.opts.NextCall()
+	p.startConfirming()
 	p.table.opts.Emit(event.CompactJournal{CommitID: p.latestCommit, Partition: p.id, Version: p.journal.Version(), Records: records})
 }
 
@@ -280,11 +286,13 @@
 		for _, rec := range p.journal.HandleCommitted(e.Version) {
 			t.applyRecord(now, p, rec)
 		}
+		p.finishConfirming(now)
 		t.dispatchNeeded = true
 	case event.CommitConflict:
 		p.relinquish(now, "another instance appended")
 	case event.CommitFailed:
 		p.journal.HandleFailed()
+		p.restartConfirming()
 	}
 	p.commitNextBatch(now)
 }
@@ -335,6 +343,7 @@
 	}
 	p.state = partitionAbsent
 	p.unansweredPeers = nil
+	p.dropConfirmations()
 	p.nextLoadAt = now.Add(reclaimDelay/2 + t.jitter(reclaimDelay))
 	if t.opts.Members.PreferredHolder(p.id) != t.opts.Self {
 		p.nextLoadAt = now
--- a/home/update.go
+++ b/home/update.go
@@ -75,7 +75,8 @@
 }
 
 // handleUnknownRequestUpdate handles an update for a request that is not in
-// memory. Only the holder of its partition may acknowledge a result.
+// memory. Only the holder of its partition may acknowledge a result, and one of
+// which the journal has no request only once the partition is confirmed.
 func (t *Table) handleUnknownRequestUpdate(now time.Time, from model.InstanceID, u event.AttemptUpdate) {
 	id := u.Report.Attempt.Request
 	p := t.partitionOf(id)
@@ -89,6 +90,9 @@
 	}
 	e, ok := p.journal.Entry(id)
 	switch {
+	case !ok && u.State == event.AttemptFinished:
+		p.confirmLater(now, confirmation{from: from, update: u})
+		return
 	case !ok || e.IsTombstone:
 	case e.Outcome == nil:
 		return
--- a/requestjournal/partition.go
+++ b/requestjournal/partition.go
@@ -93,6 +93,9 @@
 // outstanding write.
 func (p *Partition) Buffered() int { return len(p.buffer) }
 
+// HasDueRecords reports whether records are buffered that do not wait for others.
+func (p *Partition) HasDueRecords() bool { return p.deferredRecords < len(p.buffer) }
+
 // Entry returns the durable entry of a request.
 func (p *Partition) Entry(id model.RequestID) (*Entry, bool) {
 	n, ok := p.state.nodes[id]
