scheduler: failing test of not_found from a former holder

A holder that is cut off from the store and has lost its partition answers a status query with not_found for a request that its successor has accepted and runs; once its links to the other instances are back, so do they. The design says that status replies are unavailable rather than guessed. Seen: not_found at both instances.

--- a/scheduler/former_holder_test.go
+++ b/scheduler/former_holder_test.go
@@ -6,9 +6,16 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"fuchsiacross/event"
 	"fuchsiacross/model"
 )
 
+func (n *node) status(id model.RequestID) event.Token {
+	t := n.cell.recorder.openCall(n, &model.Request{ID: id}, false)
+	n.receive(n.incarnation, event.Status{Token: t, Request: id})
+	return t
+}
+
 // endAttempts ends all running attempts at a task of a request successfully.
 func (c *testCell) endAttempts(id model.RequestID, task uint32) {
 	for _, w := range c.workers {
@@ -62,4 +69,25 @@
 		Expect(c.journaledStatus(q.ID)).To(Equal(model.StatusDone))
 		Expect(c.startCount(q.ID)).To(Equal(1))
 	})
+
+	It("do not report not_found for a request that the next holder has accepted", func() {
+		q := c.newRequest("asked", model.KindBatch, model.ClassStandard, false, 0)
+		former := isolateHolder(q.ID)
+		c.otherInstance(former).submit(q, false)
+		Expect(c.runUntil(2*time.Second, func() bool { return c.startCount(q.ID) == 1 })).To(BeTrue())
+		isolated := former.status(q.ID)
+		reconnect(former)
+		asked := c.otherInstance(former).status(q.ID)
+		c.run(10 * time.Second)
+		for _, token := range []event.Token{isolated, asked} {
+			Expect(c.recorder.calls[token].open).To(BeFalse())
+			if o := c.recorder.calls[token].outcome; o != nil {
+				Expect(o.Status).NotTo(Equal(model.StatusNotFound))
+			}
+		}
+		clear(c.cutLinks)
+		c.run(5 * time.Second)
+		c.endAttempts(q.ID, 0)
+		Expect(c.runUntil(20*time.Second, func() bool { return c.journaledStatus(q.ID) == model.StatusDone })).To(BeTrue())
+	})
 })
