--- a/home/confirmation.go
+++ b/home/confirmation.go
@@ -17,21 +17,31 @@
 // accepted the request, so the conclusion counts only once an append that was
 // sent after it was drawn has been committed.
 type confirmation struct {
-	from      model.InstanceID // sender of the update
+	waiter    Waiter // that asked for the status of a request, or the zero Waiter
+	request   model.RequestID
+	from      model.InstanceID // sender of the update, if there is no waiter
 	update    event.AttemptUpdate
 	expiresAt time.Time
 }
 
-// confirmLater keeps a conclusion until the partition is confirmed, or drops it
+// reject tells a waiter that its answer could not be confirmed.
+func (c confirmation) reject(emit func(event.Effect)) {
+	if c.waiter != (Waiter{}) {
+		c.waiter.Reject(emit, event.CodeUnavailable, "", "the journal has no record of the request, and whether it is current could not be confirmed; ask again")
+	}
+}
+
+// confirmLater keeps a conclusion until the partition is confirmed, or gives it up
 // after confirmationTimeout. An update that already waits is not kept twice.
 func (p *partition) confirmLater(now time.Time, c confirmation) {
 	isSame := func(other confirmation) bool {
-		return other.from == c.from && other.update.Report.Attempt == c.update.Report.Attempt
+		return other.waiter == c.waiter && other.from == c.from && other.update.Report.Attempt == c.update.Report.Attempt
 	}
 	if slices.ContainsFunc(p.unconfirmed, isSame) || slices.ContainsFunc(p.confirming, isSame) {
 		return
 	}
 	if len(p.unconfirmed)+len(p.confirming) >= maxParked {
+		c.reject(p.table.opts.Emit)
 		return
 	}
 	c.expiresAt = now.Add(confirmationTimeout)
@@ -69,27 +79,45 @@
 	p.confirming = nil
 }
 
-// expireConfirmations drops the conclusions that were not confirmed in time.
+// expireConfirmations gives up the conclusions that were not confirmed in time.
 func (p *partition) expireConfirmations(now time.Time) {
-	isExpired := func(c confirmation) bool { return !now.Before(c.expiresAt) }
+	isExpired := func(c confirmation) bool {
+		expired := !now.Before(c.expiresAt)
+		if expired {
+			c.reject(p.table.opts.Emit)
+		}
+		return expired
+	}
 	p.unconfirmed = slices.DeleteFunc(p.unconfirmed, isExpired)
 	p.confirming = slices.DeleteFunc(p.confirming, isExpired)
 }
 
-// dropConfirmations drops all conclusions because the partition is given up.
+// dropConfirmations gives up all conclusions because the partition is given up.
 func (p *partition) dropConfirmations() {
-	p.unconfirmed, p.confirming = nil, nil
+	p.restartConfirming()
+	for _, c := range p.unconfirmed {
+		c.reject(p.table.opts.Emit)
+	}
+	p.unconfirmed = nil
 }
 
-// handleConfirmed acts on a confirmed conclusion unless the journal has the
-// request by now.
+// handleConfirmed acts on a confirmed conclusion unless the request is known by
+// now.
 func (t *Table) handleConfirmed(now time.Time, p *partition, c confirmation) {
-	id := c.update.Report.Attempt.Request
-	_, inMemory := t.requests[id]
-	_, inJournal := p.journal.Entry(id)
-	if inMemory || inJournal {
+	_, inMemory := t.requests[c.request]
+	_, inJournal := p.journal.Entry(c.request)
+	isKnown := inMemory || inJournal
+	switch {
+	case c.waiter != (Waiter{}) && isKnown:
+		t.AnswerStatus(now, c.waiter, c.request)
+	case c.waiter != (Waiter{}):
+		c.waiter.SendOutcome(t.opts.Emit, model.Outcome{
+			Status: model.StatusNotFound,
+			Reason: "no journal has the request; an urgent idempotent request is known only to the instance that took it",
+		})
+	case isKnown:
 		t.HandleAttemptUpdate(now, c.from, c.update)
-		return
+	default:
+		t.acknowledgeResult(c.from, c.update)
 	}
-	t.acknowledgeResult(c.from, c.update)
 }
--- a/home/settle.go
+++ b/home/settle.go
@@ -163,7 +163,7 @@
 func (t *Table) Cancel(now time.Time, w Waiter, id model.RequestID) bool {
 	r, ok := t.requests[id]
 	if !ok {
-		return t.AnswerStatus(w, id)
+		return t.AnswerStatus(now, w, id)
 	}
 	if r.outcome != nil && !r.outcomePending {
 		w.SendOutcome(t.opts.Emit, *r.outcome)
--- a/home/table.go
+++ b/home/table.go
@@ -350,8 +350,9 @@
 // AnswerStatus answers with the state of a request whose home is this
 // instance, or with its outcome if the waiter waits for that. It returns
 // false, without an answer, if the request is not in memory and this instance
-// does not hold its partition.
-func (t *Table) AnswerStatus(w Waiter, id model.RequestID) bool {
+// does not hold its partition. That no record exists is answered once the
+// partition is confirmed.
+func (t *Table) AnswerStatus(now time.Time, w Waiter, id model.RequestID) bool {
 	if r, ok := t.requests[id]; ok {
 		if w.Kind == WaitForOutcome {
 			t.answerOrAddWaiter(r, w)
@@ -368,10 +369,7 @@
 		t.answerFromJournal(w, nil, e)
 		return true
 	}
-	w.SendOutcome(t.opts.Emit, model.Outcome{
-		Status: model.StatusNotFound,
-		Reason: "no journal has the request; an urgent idempotent request is known only to the instance that took it",
-	})
+	p.confirmLater(now, confirmation{waiter: w, request: id})
 	return true
 }
 
--- a/home/update.go
+++ b/home/update.go
@@ -91,7 +91,7 @@
 	e, ok := p.journal.Entry(id)
 	switch {
 	case !ok && u.State == event.AttemptFinished:
-		p.confirmLater(now, confirmation{from: from, update: u})
+		p.confirmLater(now, confirmation{request: id, from: from, update: u})
 		return
 	case !ok || e.IsTombstone:
 	case e.Outcome == nil:
--- a/scheduler/call.go
+++ b/scheduler/call.go
@@ -36,7 +36,7 @@
 		return
 	}
 	r.requestByToken[e.Token] = e.Request
-	if r.homes.HasRequest(e.Request) && r.homes.AnswerStatus(w, e.Request) {
+	if r.homes.HasRequest(e.Request) && r.homes.AnswerStatus(now, w, e.Request) {
 		return
 	}
 	r.entries.Route(now, entry.Call{Kind: entry.StatusCall, Waiter: w, RequestID: e.Request})
@@ -69,7 +69,7 @@
 	case entry.SubmitCall:
 		r.homes.Submit(now, c.Waiter, c.Request, 0)
 	case entry.StatusCall:
-		if !r.homes.AnswerStatus(c.Waiter, c.RequestID) {
+		if !r.homes.AnswerStatus(now, c.Waiter, c.RequestID) {
 			r.rejectPartitionNotHeld(c.Waiter)
 		}
 	case entry.CancelCall:
--- a/scheduler/message.go
+++ b/scheduler/message.go
@@ -87,7 +87,7 @@
 		if m.Wait {
 			w.Kind = home.WaitForOutcome
 		}
-		if !r.homes.AnswerStatus(w, m.Request) {
+		if !r.homes.AnswerStatus(now, w, m.Request) {
 			r.rejectPartitionNotHeld(w)
 		}
 	case event.CancelQuery:
