scheduler: failing test of a task result acknowledged before it is journaled

The result of one of several tasks that run at most once is acknowledged when its owner repeats it, also while the home cannot reach the store. The next home finds an intent without a result. Seen: a task that succeeded counts as failed, "the result was acknowledged and dropped", the other task is stopped and the request fails.

--- a/scheduler/former_holder_test.go
+++ b/scheduler/former_holder_test.go
@@ -90,4 +90,21 @@
 		c.endAttempts(q.ID, 0)
 		Expect(c.runUntil(20*time.Second, func() bool { return c.journaledStatus(q.ID) == model.StatusDone })).To(BeTrue())
 	})
+
+	It("lose no result of one of several tasks before it is journaled", func() {
+		q := c.newRequest("several", model.KindBatch, model.ClassStandard, false, 0)
+		q.Tasks = 2
+		former := c.partitionHolder(q.ID)
+		c.otherInstance(former).submit(q, true)
+		Expect(c.runUntil(2*time.Second, func() bool { return c.startCount(q.ID) == 2 })).To(BeTrue())
+		c.run(100 * time.Millisecond)
+		c.cutLink(former.name(), "store")
+		c.endAttempts(q.ID, 0)
+		c.run(1500 * time.Millisecond)
+		former.kill()
+		c.run(5 * time.Second)
+		c.endAttempts(q.ID, 1)
+		Expect(c.runUntil(40*time.Second, func() bool { return c.journaledStatus(q.ID) != 0 })).To(BeTrue())
+		Expect(c.journaledStatus(q.ID)).To(Equal(model.StatusDone))
+	})
 })
