home: keep task results at the worker until they are journaled

Cause: the repeated result of one of several tasks was acknowledged once the task was done in memory. If the home lost its partition, or ended, before the record was stored, the result was lost.

Change: for work that runs at most once, the acknowledgement waits for the record of the result.

--- a/home/request.go
+++ b/home/request.go
@@ -1,6 +1,7 @@
 package home
 
 import (
+	"slices"
 	"time"
 
 	"fuchsiacross/event"
@@ -127,6 +128,20 @@
 	return r.attemptMayHaveRun
 }
 
+// hasDurableResult reports whether a takeover does not need the result of an
+// attempt: the journal has it, or the task may run more than once.
+func (r *request) hasDurableResult(a model.Attempt) bool {
+	if !r.atMostOnce() {
+		return true
+	}
+	e, ok := r.partition.journal.Entry(r.spec.ID)
+	if !ok {
+		return false
+	}
+	i := slices.IndexFunc(e.Attempts, func(known requestjournal.AttemptEntry) bool { return known.Attempt == a })
+	return i >= 0 && (e.Attempts[i].Result != nil || e.Attempts[i].NotRun)
+}
+
 // siblingWorkers returns the workers that run other tasks of a service.
 func (r *request) siblingWorkers() []model.WorkerID {
 	if r.spec.Kind != model.KindService {
--- a/home/update.go
+++ b/home/update.go
@@ -36,8 +36,8 @@
 }
 
 // handleSettledUpdate handles an update for a finished task or for a settled
-// request. A result is acknowledged unless it replaces an unknown outcome,
-// and an attempt that still runs is stopped.
+// request. A result is acknowledged unless it is not journaled yet or replaces
+// an unknown outcome, and an attempt that still runs is stopped.
 func (t *Table) handleSettledUpdate(now time.Time, from model.InstanceID, r *request, task *task, u event.AttemptUpdate) {
 	latest := u.Report.Attempt.Number == task.attemptNumber
 	switch {
@@ -46,7 +46,7 @@
 			t.stopAttempt(from, u.Worker, u.Report.Attempt, false)
 		}
 		return
-	case u.State == event.AttemptFinished && r.outcomePending:
+	case u.State == event.AttemptFinished && (r.outcomePending || r.outcome == nil && !r.hasDurableResult(u.Report.Attempt)):
 		return
 	case u.State == event.AttemptFinished && r.outcome != nil && r.outcome.Status == model.StatusUnknown && r.partition != nil:
 		e, ok := r.partition.journal.Entry(r.spec.ID)
