scheduler: failing test of a run that a paused holder gives up and stops

A holder that was paused for 20 s finds by its clock that the state of an attempt has been unknown for too long, settles the request as unknown and stops the attempt before it learns that its partition has been claimed and the attempt adopted. Seen: the only run of an at-most-once job is stopped and the job fails, "the attempt was stopped".

--- a/scheduler/former_holder_test.go
+++ b/scheduler/former_holder_test.go
@@ -143,4 +143,29 @@
 		Expect(c.journaledStatus(q.ID)).To(Equal(model.StatusDone))
 		Expect(c.startCount(q.ID)).To(Equal(1))
 	})
+
+	It("do not stop a running attempt that they give up after a pause", func() {
+		q := c.newRequest("paused", model.KindBatch, model.ClassStandard, false, 0)
+		q.Deadline = c.now.Add(time.Minute)
+		former := c.partitionHolder(q.ID)
+		for _, w := range c.workers {
+			c.cutLinkBothWays(former.name(), w.name())
+		}
+		c.run(3 * time.Second)
+		c.otherInstance(former).submit(q, false)
+		Expect(c.runUntil(2*time.Second, func() bool { return c.startCount(q.ID) == 1 })).To(BeTrue())
+		for _, n := range c.nodes {
+			if n != former {
+				c.cutLink(n.name(), former.name())
+			}
+		}
+		c.run(1500 * time.Millisecond)
+		former.pause(20*time.Second, false)
+		clear(c.cutLinks)
+		c.run(25 * time.Second)
+		c.endAttempts(q.ID, 0)
+		Expect(c.runUntil(20*time.Second, func() bool { return c.journaledStatus(q.ID) != 0 })).To(BeTrue())
+		Expect(c.journaledStatus(q.ID)).To(Equal(model.StatusDone))
+		Expect(c.startCount(q.ID)).To(Equal(1))
+	})
 })
