home: stop the tasks of a request once its outcome is committed

Change: the tasks are stopped when the outcome is committed. A cancellation by a caller stops them at once, as before.

--- a/home/scan.go
+++ b/home/scan.go
@@ -86,7 +86,10 @@
 	default:
 		return
 	}
-	if now.After(task.fencingDeadline) && !r.outcomePending {
+	if r.outcomePending {
+		return
+	}
+	if now.After(task.fencingDeadline) {
 		t.endSettledTask(r, task)
 		return
 	}
--- a/home/settle.go
+++ b/home/settle.go
@@ -42,9 +42,10 @@
 	return o
 }
 
-// settleRequest sets the outcome of a request, stops its tasks and releases
-// the capacity that is held for it. The outcome of a journaled request is
-// published once it is committed.
+// settleRequest sets the outcome of a request and releases the capacity that is
+// held for it. The outcome of a journaled request is published, and its tasks
+// are stopped, once the outcome is committed: until then another instance may
+// have claimed the partition and decided otherwise.
 func (t *Table) settleRequest(now time.Time, r *request, o model.Outcome) {
 	if r.outcome != nil {
 		return
@@ -53,9 +54,6 @@
 	for i := range r.tasks {
 		task := &r.tasks[i]
 		t.opts.Queue.Remove(r.spec.ID, task.index)
-		t.stopTask(r, task)
-		task.fencingDeadline = now.Add(fencingTimeout)
-		t.dueTasks.add(r, task, now.Add(updateTimeout))
 	}
 	t.releaseGang(now, r)
 	t.opts.Index.ReleaseHolds(r.spec.ID)
@@ -67,8 +65,9 @@
 	r.partition.journal.Append(now, requestjournal.Record{Kind: requestjournal.RecordOutcome, At: now, ID: r.spec.ID, Outcome: r.outcome})
 }
 
-// publishOutcome sends a final outcome to all waiters and acknowledges the
-// results of the finished tasks, so that the workers can drop them.
+// publishOutcome sends a final outcome to all waiters, stops the tasks that still
+// run and acknowledges the results of the finished ones, so that the workers can
+// drop them.
 func (t *Table) publishOutcome(now time.Time, r *request) {
 	r.outcomePending = false
 	o := *r.outcome
@@ -80,6 +79,9 @@
 	r.waiters = nil
 	for i := range r.tasks {
 		task := &r.tasks[i]
+		t.stopTask(r, task)
+		task.fencingDeadline = now.Add(fencingTimeout)
+		t.dueTasks.add(r, task, now.Add(updateTimeout))
 		if task.state == taskDone && task.worker != "" {
 			t.acknowledgeResult(task.owner, event.AttemptUpdate{Worker: task.worker, Report: model.TaskReport{Attempt: task.attemptID(r.spec.ID)}})
 		}
--- a/home/update.go
+++ b/home/update.go
@@ -182,7 +182,7 @@
 	task.state = taskRunning
 	task.fenceAt, task.fencingDeadline = time.Time{}, time.Time{}
 	t.scheduleCheck(now, r, task)
-	if r.cancelled || r.outcome != nil {
+	if r.cancelled || r.outcome != nil && !r.outcomePending {
 		t.stopTask(r, task)
 		return
 	}
