scheduler: record dropped results and runs stopped without a cause

The recorder now counts two more contradictions: an at-most-once run that is stopped although its request is neither settled nor cancelled, and an outcome that is a result which had been acknowledged.

--- a/scheduler/cell_test.go
+++ b/scheduler/cell_test.go
@@ -366,6 +366,7 @@
 
 func (n *node) cancel(id model.RequestID) event.Token {
 	t := n.cell.recorder.openCall(n, &model.Request{ID: id}, true)
+	n.cell.recorder.cancelled[id] = true
 	n.receive(n.incarnation, event.Cancel{Token: t, Request: id})
 	return t
 }
--- a/scheduler/recorder_test.go
+++ b/scheduler/recorder_test.go
@@ -9,6 +9,9 @@
 	"fuchsiacross/model"
 )
 
+// droppedResult is what a worker reports for a result that has been acknowledged.
+const droppedResult = "the result was acknowledged and dropped"
+
 // taskBehaviour configures how the tasks of a request run. With a zero duration,
 // they run until they are stopped.
 type taskBehaviour struct {
@@ -46,6 +49,7 @@
 	// the outcome. Any other cancelled request may be started once more by a former
 	// holder that does not know of the cancellation yet.
 	unstarted map[model.RequestID]bool
+	cancelled map[model.RequestID]bool // a caller has asked for the cancellation
 	faults    []string
 	log       []string
 }
@@ -54,7 +58,7 @@
 	return &recorder{
 		cell: c, behaviours: map[model.RequestID]taskBehaviour{}, calls: map[event.Token]*call{}, starts: map[taskKey]int{},
 		running: map[taskKey]int{}, answers: map[model.RequestID]map[string]bool{}, finalOutcomes: map[model.RequestID]model.Outcome{},
-		unstarted: map[model.RequestID]bool{},
+		unstarted: map[model.RequestID]bool{}, cancelled: map[model.RequestID]bool{},
 	}
 }
 
@@ -106,6 +110,10 @@
 	a := t.report.Attempt
 	r.logf("worker ends %s %s %v", a, t.report.State, t.report.Result.Succeeded)
 	r.running[taskKey{a.Request, a.Task}]--
+	if e, ok := r.cell.store.journalEntry(a.Request); ok && e.Outcome == nil &&
+		t.report.State == model.TaskStopped && !t.request.Idempotent && !r.cancelled[a.Request] {
+		r.recordFault("stopped although it is neither settled nor cancelled: %s", a)
+	}
 	if r.answers[a.Request] == nil {
 		r.answers[a.Request] = map[string]bool{}
 	}
@@ -132,6 +140,9 @@
 	if o.Status == model.StatusDone {
 		r.checkAnswer(id, c.request, o)
 	}
+	if o.Reason == droppedResult && !r.cancelled[id] {
+		r.recordFault("a result was dropped before it was journaled: %s", id)
+	}
 	if o.Status == model.StatusNotRun && r.wasStarted(id) {
 		r.recordFault("not_run, but it was started: %s", id)
 	}
--- a/scheduler/worker_test.go
+++ b/scheduler/worker_test.go
@@ -353,7 +353,7 @@
 		report = t.report
 	case w.acknowledged[a]:
 		report.State = model.TaskFinished
-		report.Result = model.TaskResult{Message: "the result was acknowledged and dropped", Digest: model.DigestOf(nil)}
+		report.Result = model.TaskResult{Message: droppedResult, Digest: model.DigestOf(nil)}
 	default:
 		w.refused[a] = true
 	}
