scheduler: failing test of capacity that a former holder keeps reserved

A holder that has lost its partition before its intent was committed takes the report of its successor's attempt, which has the same number on another worker, for one about its own. It then does not release what it has reserved. Seen: one attempt, its quota and its room stay reserved for as long as the lease is held.

--- a/scheduler/former_holder_test.go
+++ b/scheduler/former_holder_test.go
@@ -168,4 +168,24 @@
 		Expect(c.journaledStatus(q.ID)).To(Equal(model.StatusDone))
 		Expect(c.startCount(q.ID)).To(Equal(1))
 	})
+
+	It("release what they have reserved for an attempt that the next holder has made", func() {
+		q := c.newRequest("same", model.KindBatch, model.ClassStandard, false, 0)
+		home := c.partitionHolder(q.ID)
+		home.submit(q, false)
+		isAccepted := func() bool { _, ok := c.store.journalEntry(q.ID); return ok }
+		for !isAccepted() {
+			c.run(time.Millisecond)
+		}
+		former := isolateHolder(q.ID)
+		Expect(former).To(Equal(home))
+		Expect(c.runUntil(5*time.Second, func() bool { return c.startCount(q.ID) == 1 })).To(BeTrue())
+		reconnect(former)
+		c.endAttempts(q.ID, 0)
+		c.run(2 * time.Second)
+		clear(c.cutLinks)
+		Expect(c.runUntil(20*time.Second, func() bool { return c.journaledStatus(q.ID) == model.StatusDone })).To(BeTrue())
+		c.run(20 * time.Second)
+		Expect(former.reducer.Leaks()).To(BeEmpty())
+	})
 })
