home: tell the next holder's attempt from an own one of the same number

Cause: attempts were told apart by their number only. Until its intent is committed, an attempt of this home has the number that its successor's attempt may have.

Change: a report of an attempt without a committed intent, other than that it was refused, counts as one about a later holder's attempt.

--- a/home/request.go
+++ b/home/request.go
@@ -56,6 +56,15 @@
 	return t.state == taskWaiting && (t.attemptCount == 0 || a.Number > t.attemptNumber)
 }
 
+// lacksIntentOf reports whether an owner reports an attempt of which this home
+// has not committed the intent. An attempt that was not sent may be refused.
+func (t *task) lacksIntentOf(u event.AttemptUpdate) bool {
+	if n := u.Report.Attempt.Number; n != t.attemptNumber {
+		return n > t.attemptNumber
+	}
+	return t.state == taskCommittingIntent && u.State != event.AttemptRefused
+}
+
 // attemptID returns the identifier of the latest attempt.
 func (t *task) attemptID(id model.RequestID) model.Attempt {
 	return model.Attempt{Request: id, Task: t.index, Number: t.attemptNumber}
--- a/home/update.go
+++ b/home/update.go
@@ -26,9 +26,8 @@
 	switch {
 	case task == nil:
 		t.acknowledgeResult(from, u)
-	case r.atMostOnce() && a.Number > task.attemptNumber:
-		// The intent of the attempt is not in this journal: another instance has
-		// claimed the partition.
+	case r.atMostOnce() && task.lacksIntentOf(u):
+		// Another instance has claimed the partition and made the attempt.
 		r.partition.nextVerifyAt = now
 	case task.state == taskDone || r.outcome != nil && !r.outcomePending:
 		t.handleSettledUpdate(now, from, r, task, u)
