scheduler: failing test of a worker that a former holder overfills

A former holder that has capacity reserved for an attempt on one worker acquires the lease of another one, on which its successor's attempt of the same number runs. It tracks that attempt under the first worker, and frees its room when the first worker's lease is granted again. Seen: two urgent requests are started on the second worker, each above its capacity.

--- a/scheduler/former_holder_test.go
+++ b/scheduler/former_holder_test.go
@@ -1,6 +1,7 @@
 package scheduler_test
 
 import (
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -188,4 +189,50 @@
 		c.run(20 * time.Second)
 		Expect(former.reducer.Leaks()).To(BeEmpty())
 	})
+
+	It("count the room of an attempt that the next holder has made", func() {
+		q := c.newRequest("room", model.KindBatch, model.ClassStandard, false, 0)
+		q.Resources.MilliCPU = 3000
+		q.Deadline = c.now.Add(time.Minute)
+		home := c.partitionHolder(q.ID)
+		var own []*fakeWorker
+		for _, w := range c.workers {
+			if home.sessions[w.self.ID] != nil {
+				own = append(own, w)
+			}
+		}
+		Expect(own).To(HaveLen(2))
+		c.cutLinkBothWays(home.name(), own[0].name())
+		c.run(3 * time.Second)
+		home.submit(q, false)
+		isAccepted := func() bool { _, ok := c.store.journalEntry(q.ID); return ok }
+		for !isAccepted() {
+			c.run(time.Millisecond)
+		}
+		for _, w := range c.workers {
+			for _, n := range c.nodes {
+				if n != home && w != own[0] {
+					c.cutLinkBothWays(n.name(), w.name())
+				}
+			}
+		}
+		former := isolateHolder(q.ID)
+		Expect(c.runUntil(5*time.Second, func() bool { return own[0].used.MilliCPU == 3000 })).To(BeTrue())
+		reconnect(former)
+		Expect(own[0].holder).To(Equal(former))
+		c.cutLink(former.name(), own[1].name())
+		c.run(600 * time.Millisecond)
+		delete(c.cutLinks, direction{former.name(), own[1].name()})
+		c.run(time.Second)
+		for i := range 6 {
+			u := c.newRequest(fmt.Sprintf("urgent%d", i), model.KindRequest, model.ClassUrgent, true, 2*time.Second)
+			u.Resources.MilliCPU = 2000
+			former.submit(u, false)
+		}
+		c.run(3 * time.Second)
+		c.endAttempts(q.ID, 0)
+		clear(c.cutLinks)
+		Expect(c.runUntil(40*time.Second, func() bool { return c.journaledStatus(q.ID) == model.StatusDone })).To(BeTrue())
+		Expect(c.startCount(q.ID)).To(Equal(1))
+	})
 })
