lease: track an attempt on the worker that reports it

Cause: attempts are found by their identifier. Room that was reserved for an attempt on one worker was taken for that of the same attempt, made by the next holder of the partition, on another worker.

Change: when another worker reports the attempt, the reservation is dropped and the attempt is tracked on that worker.

--- a/lease/attempt.go
+++ b/lease/attempt.go
@@ -297,6 +297,11 @@
 		h.workers[id] = w
 	}
 	a, ok := h.attempts[key]
+	if ok && a.worker != id && a.state == attemptReserved {
+		// Another instance has made the attempt that this one had reserved room for.
+		h.dropAttempt(h.workers[a.worker], a)
+		ok = false
+	}
 	if !ok {
 		a = &attempt{id: key, worker: id, workerIncarnation: w.incarnation, state: attemptRunning}
 		h.trackAttempt(w, a)
