--- a/home/request.go
+++ b/home/request.go
@@ -1,6 +1,7 @@
 package home
 
 import (
+	"slices"
 	"time"
 
 	"fuchsiacross/event"
@@ -55,6 +56,15 @@
 	return t.state == taskWaiting && (t.attemptCount == 0 || a.Number > t.attemptNumber)
 }
 
+// lacksIntentOf reports whether an owner reports an attempt of which this home
+// has not committed the intent. An attempt that was not sent may be refused.
+func (t *task) lacksIntentOf(u event.AttemptUpdate) bool {
+	if n := u.Report.Attempt.Number; n != t.attemptNumber {
+		return n > t.attemptNumber
+	}
+	return t.state == taskCommittingIntent && u.State != event.AttemptRefused
+}
+
 // attemptID returns the identifier of the latest attempt.
 func (t *task) attemptID(id model.RequestID) model.Attempt {
 	return model.Attempt{Request: id, Task: t.index, Number: t.attemptNumber}
@@ -127,6 +137,20 @@
 	return r.attemptMayHaveRun
 }
 
+// hasDurableResult reports whether a takeover does not need the result of an
+// attempt: the journal has it, or the task may run more than once.
+func (r *request) hasDurableResult(a model.Attempt) bool {
+	if !r.atMostOnce() {
+		return true
+	}
+	e, ok := r.partition.journal.Entry(r.spec.ID)
+	if !ok {
+		return false
+	}
+	i := slices.IndexFunc(e.Attempts, func(known requestjournal.AttemptEntry) bool { return known.Attempt == a })
+	return i >= 0 && (e.Attempts[i].Result != nil || e.Attempts[i].NotRun)
+}
+
 // siblingWorkers returns the workers that run other tasks of a service.
 func (r *request) siblingWorkers() []model.WorkerID {
 	if r.spec.Kind != model.KindService {
--- a/home/update.go
+++ b/home/update.go
@@ -26,6 +26,9 @@
 	switch {
 	case task == nil:
 		t.acknowledgeResult(from, u)
+	case r.atMostOnce() && task.lacksIntentOf(u):
+		// Another instance has claimed the partition and made the attempt.
+		r.partition.nextVerifyAt = now
 	case task.state == taskDone || r.outcome != nil && !r.outcomePending:
 		t.handleSettledUpdate(now, from, r, task, u)
 	case a.Number != task.attemptNumber:
@@ -36,8 +39,8 @@
 }
 
 // handleSettledUpdate handles an update for a finished task or for a settled
-// request. A result is acknowledged unless it replaces an unknown outcome,
-// and an attempt that still runs is stopped.
+// request. A result is acknowledged unless it is not journaled yet or replaces
+// an unknown outcome, and an attempt that still runs is stopped.
 func (t *Table) handleSettledUpdate(now time.Time, from model.InstanceID, r *request, task *task, u event.AttemptUpdate) {
 	latest := u.Report.Attempt.Number == task.attemptNumber
 	switch {
@@ -46,7 +49,7 @@
 			t.stopAttempt(from, u.Worker, u.Report.Attempt, false)
 		}
 		return
-	case u.State == event.AttemptFinished && r.outcomePending:
+	case u.State == event.AttemptFinished && (r.outcomePending || r.outcome == nil && !r.hasDurableResult(u.Report.Attempt)):
 		return
 	case u.State == event.AttemptFinished && r.outcome != nil && r.outcome.Status == model.StatusUnknown && r.partition != nil:
 		e, ok := r.partition.journal.Entry(r.spec.ID)
@@ -75,7 +78,8 @@
 }
 
 // handleUnknownRequestUpdate handles an update for a request that is not in
-// memory. Only the holder of its partition may acknowledge a result.
+// memory. Only the holder of its partition may acknowledge a result, and one of
+// which the journal has no request only once the partition is confirmed.
 func (t *Table) handleUnknownRequestUpdate(now time.Time, from model.InstanceID, u event.AttemptUpdate) {
 	id := u.Report.Attempt.Request
 	p := t.partitionOf(id)
@@ -89,6 +93,9 @@
 	}
 	e, ok := p.journal.Entry(id)
 	switch {
+	case !ok && u.State == event.AttemptFinished:
+		p.confirmLater(now, confirmation{request: id, from: from, update: u})
+		return
 	case !ok || e.IsTombstone:
 	case e.Outcome == nil:
 		return
@@ -174,7 +181,7 @@
 	task.state = taskRunning
 	task.fenceAt, task.fencingDeadline = time.Time{}, time.Time{}
 	t.scheduleCheck(now, r, task)
-	if r.cancelled || r.outcome != nil {
+	if r.cancelled || r.outcome != nil && !r.outcomePending {
 		t.stopTask(r, task)
 		return
 	}
