--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -20,7 +20,7 @@
 	clock          int64          // latest reading of its clock, in milliseconds
 	clockAt        time.Time      // when that reading arrived; zero before the first
 	wasRead        bool           // with this leader's token
-	wasListed      bool           // a reading has listed all its runs, active and ended
+	listedAt       time.Time      // when a reading first listed all its runs, active and ended; zero before
 	moreEnds       bool           // the last reading left ends out
 	unknownEnds    []job.EndedRun // of jobs that are not known, in the last reading
 	leaseEnd       time.Time      // until when its runs may continue, by the leader's clock
@@ -123,7 +123,7 @@
 // either, its state is dropped. A worker that this leader has not read may still have runs of
 // a predecessor and is kept for a while.
 func (r *Reducer) dropIfUnused(w *worker) {
-	if !w.unreachable || len(w.runs) > 0 || w.processedEnd != w.savedEnd || !w.wasListed && r.mayHavePredecessorRuns(w) {
+	if !w.unreachable || len(w.runs) > 0 || w.processedEnd != w.savedEnd || r.mayHavePredecessorRuns(w) {
 		return
 	}
 	if w.enrolled {
@@ -235,8 +235,13 @@
 		}
 		w.unreachable = true
 		if e.Replaced {
-			w.wasRead, w.wasListed, w.moreEnds = true, true, false
-			r.giveUpRuns(w, e.SentAt, "another incarnation answers at the worker's address")
+			w.wasRead, w.moreEnds = true, false
+			w.markListed(r.now)
+			for _, run := range w.runs {
+				if run.orderedAt.Before(e.SentAt) {
+					run.markGone(r.now, "another incarnation answers at the worker's address")
+				}
+			}
 		}
 		r.stopIncompleteGangs(w)
 		r.dropIfUnused(w)
@@ -290,7 +295,10 @@
 	r.reconcileRuns(w, e)
 	r.throttleFillers(w)
 	if e.Token == r.fence(w) {
-		w.wasRead, w.wasListed = true, w.wasListed || !w.moreEnds
+		w.wasRead = true
+		if !w.moreEnds {
+			w.markListed(r.now)
+		}
 	}
 	if w.processedEnd > w.savedEnd && len(r.unsavedJobs) == 0 && r.saveMarks == nil {
 		// None of the ends changed the durable state.
@@ -324,11 +332,31 @@
 	w.health, w.pace, w.fillerThrottle, w.orphans = health{}, pace{}, fillerThrottle{}, nil
 }
 
-// giveUpRuns gives up the runs of a worker that were ordered before a time.
-func (r *Reducer) giveUpRuns(w *worker, before time.Time, reason string) {
+// markListed records that all runs of the worker are known, or are gone with it.
+func (w *worker) markListed(now time.Time) {
+	if w.listedAt.IsZero() {
+		w.listedAt = now
+	}
+}
+
+// markGone records that the incarnation of the worker that had the run is gone.
+func (r *run) markGone(now time.Time, reason string) {
+	if r.goneAt.IsZero() {
+		r.goneAt, r.goneReason = now, reason
+	}
+}
+
+// giveUpEndedRuns gives up the runs that have ended with the lease or the incarnation of their
+// worker. A successor may have acknowledged their ends before; a later confirmation rules that
+// out.
+func (r *Reducer) giveUpEndedRuns(w *worker) {
+	expired := r.leaseHasExpired(w)
 	for _, run := range w.runs {
-		if run.orderedAt.Before(before) {
-			r.giveUpRun(run, reason)
+		switch {
+		case !run.goneAt.IsZero() && r.confirmedAt.After(run.goneAt):
+			r.giveUpRun(run, run.goneReason)
+		case expired:
+			r.giveUpRun(run, "the worker's lease has expired")
 		}
 	}
 }
@@ -344,7 +372,7 @@
 			r.adoptRun(w, running)
 			continue
 		}
-		known.missedReadings, known.unknownAt = 0, time.Time{}
+		known.missedReadings, known.unknownAt, known.goneAt = 0, time.Time{}, time.Time{}
 		known.step.job.started = true
 		if known.presentSince.IsZero() {
 			known.presentSince = r.now
@@ -370,7 +398,7 @@
 		}
 		switch {
 		case run.token < e.Token:
-			r.giveUpRun(run, "the worker has restarted")
+			run.markGone(r.now, "the worker has restarted")
 		case !run.stopAnsweredAt.IsZero() && run.stopAnsweredAt.Before(e.SentAt):
 			r.giveUpRun(run, "stopped before it started")
 		case !run.unknownAt.IsZero() && run.unknownAt.Before(e.SentAt) && !run.stopping:
@@ -460,8 +488,14 @@
 			r.sendStop(run)
 		}
 	}
-	if w.unreachable && r.now.After(w.leaseEnd) {
-		r.giveUpRuns(w, r.now, "the worker's lease has expired")
-	}
+	r.giveUpEndedRuns(w)
 	r.dropIfUnused(w)
 }
+
+// leaseHasExpired reports whether the runs of an unreachable worker have ended with its lease.
+// The leader's clock alone does not show it, since a successor may have extended the lease. A
+// confirmation from after the end of the lease rules that out: until then, no successor had
+// claimed the leadership.
+func (r *Reducer) leaseHasExpired(w *worker) bool {
+	return w.unreachable && r.confirmedAt.After(w.leaseEnd)
+}
