dispatch: failing test of a former leader at a restarted worker

What callers saw: nothing yet; found in review as a path of the same cause.

Cause: acceptsRuns takes a worker as soon as its new incarnation has answered with a new token. That incarnation has forgotten the successor's token, so a former leader whose confirmation still holds starts waiting tasks there that the successor runs elsewhere.

--- a/dispatch/formerleader_test.go
+++ b/dispatch/formerleader_test.go
@@ -104,3 +104,25 @@
 	sim.advance(10 * time.Second)
 	expectCompletedOnce(g, sim)
 }
+
+// A restarted worker has forgotten the successor's token, so that a former leader may start the
+// tasks there that it has not started yet.
+func TestFormerLeaderStartsDueTasksOnRestartedWorker(t *testing.T) {
+	g := NewWithT(t)
+	sim := newSimulation(4, 16, plain)
+	sim.advance(200 * time.Millisecond)
+	sim.submit(newJob(1, "plain", job.Step{Tasks: 1, Demand: demand(4, 4), EstimateMilliseconds: 8000}))
+	due := newJob(2, "plain", job.Step{Tasks: 2, Demand: demand(4, 4), EstimateMilliseconds: 4000})
+	due.Definition.Occurrences = 1
+	due.Definition.FirstDueMilliseconds = sim.now.Add(4 * time.Second).UnixMilli()
+	sim.submit(due)
+	sim.advance(time.Second)
+	g.Expect(sim.workers["w00"].running).To(HaveLen(1))
+	former := sim.isolateLeader(formerLeaderClaimGap)
+	sim.advance(time.Second)
+	sim.workers["w00"].restart()
+	former.reaches = func(w job.WorkerID) bool { return w == "w00" }
+	sim.leader.reaches = func(w job.WorkerID) bool { return w != "w00" }
+	sim.advance(15 * time.Second)
+	expectCompletedOnce(g, sim)
+}
