dispatch: failing test of a job that only a former leader knows

What callers saw: nothing yet; found by a random test in review.

Cause: handleReading applies ends of unknown jobs 2.5 s after the load, and they are acknowledged without a save. A former leader may be notified of a job for 2.75 s after it was cut off, and start it for 5.5 s; the store's changes tell the successor up to 1.7 s later. The successor then starts the job again.

--- a/dispatch/formerleader_test.go
+++ b/dispatch/formerleader_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"fuchsiacross/dispatch"
 	"fuchsiacross/job"
 )
 
@@ -126,3 +127,23 @@
 	sim.advance(15 * time.Second)
 	expectCompletedOnce(g, sim)
 }
+
+// The former leader starts a job that its successor does not know yet. The successor acknowledges
+// the end, and then starts the job again.
+func TestFormerLeaderStartsJobUnknownToSuccessor(t *testing.T) {
+	g := NewWithT(t)
+	sim := newSimulation(4, 16, plain)
+	sim.advance(200 * time.Millisecond)
+	former := sim.isolateLeader(formerLeaderClaimGap, "w03")
+	sim.advance(2500 * time.Millisecond)
+	j := newJob(1, "plain", job.Step{Tasks: 1, Demand: demand(4, 4), EstimateMilliseconds: 500})
+	sim.submittedAt[j.ID] = sim.now
+	sim.storeJob(j)
+	sim.applyTo(former, dispatch.JobAccepted{Job: sim.jobs[j.ID], Notified: true})
+	sim.advance(600 * time.Millisecond)
+	sim.leader.reaches = nil
+	sim.advance(900 * time.Millisecond)
+	sim.reportStoreChange(j.ID)
+	sim.advance(5 * time.Second)
+	expectCompletedOnce(g, sim)
+}
