dispatch: failing test of a dropped worker with a run of an unknown job

What callers saw: nothing yet; found by reading in review.

Cause: dropIfUnused looks at known runs only. A worker whose runs or ends belong to a job that is not known yet is dropped, or no longer enrolled, as soon as it does not answer, while its lease still holds. No later leader waits for it.

--- a/dispatch/formerleader_test.go
+++ b/dispatch/formerleader_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	. "github.com/onsi/gomega"
 
 	"fuchsiacross/dispatch"
@@ -147,3 +148,20 @@
 	sim.advance(5 * time.Second)
 	expectCompletedOnce(g, sim)
 }
+
+// A worker with a run of a job that the successor does not know yet loses its registration, and
+// does not answer. The successor drops it, and starts the job again.
+func TestFormerLeaderRunOfUnknownJobIsDropped(t *testing.T) {
+	g := NewWithT(t)
+	sim := newBusyWorker(g, 8*time.Second)
+	sim.missingFromLoad[id(1)] = true
+	sim.workers["w00"].unregistered = true
+	sim.loseLeader(300 * time.Millisecond)
+	sim.advance(500 * time.Millisecond)
+	sim.leader.reaches = func(w job.WorkerID) bool { return w != "w00" }
+	sim.apply(dispatch.WorkerReading{ID: "w00", Token: 1 + dispatch.TokensPerTerm, SentAt: sim.now, Err: errors.New("connection refused")})
+	sim.advance(500 * time.Millisecond)
+	sim.reportStoreChange(id(1))
+	sim.advance(15 * time.Second)
+	expectCompletedOnce(g, sim)
+}
