--- a/dispatch/formerleader_test.go
+++ b/dispatch/formerleader_test.go
@@ -4,8 +4,10 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	. "github.com/onsi/gomega"
 
+	"fuchsiacross/dispatch"
 	"fuchsiacross/job"
 )
 
@@ -126,3 +128,41 @@
 	sim.advance(15 * time.Second)
 	expectCompletedOnce(g, sim)
 }
+
+// The former leader starts a job that its successor does not know yet. The successor acknowledges
+// the end, and then starts the job again.
+func TestFormerLeaderStartsJobUnknownToSuccessor(t *testing.T) {
+	g := NewWithT(t)
+	sim := newSimulation(4, 16, plain)
+	sim.advance(200 * time.Millisecond)
+	former := sim.isolateLeader(formerLeaderClaimGap, "w03")
+	sim.advance(2500 * time.Millisecond)
+	j := newJob(1, "plain", job.Step{Tasks: 1, Demand: demand(4, 4), EstimateMilliseconds: 500})
+	sim.submittedAt[j.ID] = sim.now
+	sim.storeJob(j)
+	sim.missingFromLoad[j.ID] = true
+	sim.applyTo(former, dispatch.JobAccepted{Job: sim.jobs[j.ID], Notified: true})
+	sim.advance(600 * time.Millisecond)
+	sim.leader.reaches = nil
+	sim.advance(900 * time.Millisecond)
+	sim.reportStoreChange(j.ID)
+	sim.advance(5 * time.Second)
+	expectCompletedOnce(g, sim)
+}
+
+// A worker with a run of a job that the successor does not know yet loses its registration, and
+// does not answer. The successor drops it, and starts the job again.
+func TestFormerLeaderRunOfUnknownJobIsDropped(t *testing.T) {
+	g := NewWithT(t)
+	sim := newBusyWorker(g, 8*time.Second)
+	sim.missingFromLoad[id(1)] = true
+	sim.workers["w00"].unregistered = true
+	sim.loseLeader(300 * time.Millisecond)
+	sim.advance(500 * time.Millisecond)
+	sim.leader.reaches = func(w job.WorkerID) bool { return w != "w00" }
+	sim.apply(dispatch.WorkerReading{ID: "w00", Token: 1 + dispatch.TokensPerTerm, SentAt: sim.now, Err: errors.New("connection refused")})
+	sim.advance(500 * time.Millisecond)
+	sim.reportStoreChange(id(1))
+	sim.advance(15 * time.Second)
+	expectCompletedOnce(g, sim)
+}
