--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -87,13 +87,11 @@
 	if r.loaded && !w.inherited {
 		return false
 	}
-	switch {
-	case !w.listedAt.IsZero():
+	if !w.listedAt.IsZero() {
 		// The worker may have restarted after a successor had acknowledged ends.
-		if r.confirmedAt.After(w.listedAt) {
-			return false
-		}
-	case w.moreEnds && !r.leaseHasExpired(w):
+		return !r.confirmedAt.After(w.listedAt)
+	}
+	if w.moreEnds && !r.leaseHasExpired(w) {
 		return true
 	}
 	// A missing registration proves nothing: a worker that has lost the store may still work
