instance, dispatch: notify only one leader of a job with two rows

A leader starts a job at once if the storing instance notified it and the row is newer than its predecessor's last write, since an instance tells only one leader. A job that a client submits twice can have two rows, one in each home, which two instances store: one may still be linked to a former leader, the other to its successor. Each of the two leaders was notified of a row that no other leader knew, and started the job: callers saw its tasks run twice at the same time (TWICE).

Only the row in the main home, by the id alone, counts as a notification now. It is inserted once and reported by the instance that inserted it to one leader. A leader that is told of the row in the other home takes it like a change of the store: it starts the job after a later write of its own, which only the current leader can make, and of which a successor knows by the version.

Jobs in their other home start up to one write of the leader later.

--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -21,9 +21,10 @@
 	}
 	// JobOffered reports a job that is being stored, so that advice is requested early.
 	JobOffered struct{ Job job.Job }
-	// JobAccepted reports a stored job. Notified is set if the instance that stored the job
-	// notified this leader, and thus no other leader. An earlier leader may still know the job
-	// from the store's change feed, or from another row if the client submitted it twice.
+	// JobAccepted reports a stored job. Notified is set if the instance that stored the job in
+	// its main home notified this leader, and thus no other leader. An earlier leader may still
+	// know the job from the store's change feed, or from another row if the client submitted it
+	// twice; it starts such a job only after a later write of its own.
 	JobAccepted struct {
 		Job      job.Job
 		Notified bool
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -408,7 +408,7 @@
 			l.post(dispatch.JobOffered{Job: j})
 		default:
 			j.Version = m.Version
-			l.post(dispatch.JobAccepted{Job: j, Notified: true})
+			l.post(dispatch.JobAccepted{Job: j, Notified: m.Known})
 		}
 	case link.KindCancellationStored:
 		l.post(dispatch.CancelAccepted{ID: m.Job})
--- a/instance/requests.go
+++ b/instance/requests.go
@@ -78,12 +78,13 @@
 }
 
 // storeJob inserts a job into one of its homes, the partitions that may hold it, and
-// notifies the leader.
+// notifies the leader. Two rows of one job may be reported to different leaders, so only the row
+// in the main home, of which there is one, counts as a notification.
 func (s *shard) storeJob(ctx context.Context, home string, id job.ID, encoded []byte) job.Outcome {
 	version, err := s.jobs.Accept(ctx, home, id, encoded)
 	s.instance.recordStoreCall(err)
 	if err == nil && version != 0 {
-		s.notifyLeader(link.Message{Kind: link.KindJobStored, Job: id, Data: encoded, Version: version})
+		s.notifyLeader(link.Message{Kind: link.KindJobStored, Job: id, Data: encoded, Version: version, Known: jobstore.IsMainHome(home, id)})
 	}
 	return writeOutcome(err)
 }
--- a/jobstore/jobstore.go
+++ b/jobstore/jobstore.go
@@ -115,10 +115,7 @@
 // Homes returns the partitions that may hold a job, in the order in which to try
 // them. An unresponsive partition is last, unless both are unresponsive.
 func (s *Store) Homes(id job.ID) [homesPerJob]string {
-	hash := xxhash.Sum64String(string(id))
-	first := hash % jobPartitions
-	second := (first + 1 + hash/jobPartitions%(jobPartitions-1)) % jobPartitions
-	homes := [homesPerJob]string{partitionName(first), partitionName(second)}
+	homes := homesOf(id)
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -128,6 +125,18 @@
 	return homes
 }
 
+// homesOf returns the partitions that may hold a job, in an order that depends on its id alone.
+func homesOf(id job.ID) [homesPerJob]string {
+	hash := xxhash.Sum64String(string(id))
+	first := hash % jobPartitions
+	second := (first + 1 + hash/jobPartitions%(jobPartitions-1)) % jobPartitions
+	return [homesPerJob]string{partitionName(first), partitionName(second)}
+}
+
+// IsMainHome reports whether a partition is the main home of a job, which is the same for all
+// instances, whatever partitions they find unresponsive.
+func IsMainHome(home string, id job.ID) bool { return home == homesOf(id)[0] }
+
 func partitionName(n uint64) string { return fmt.Sprintf("p%d", n) }
 
 // MarkUnresponsive records that a call to a partition got no answer. Homes returns the
--- a/link/link.go
+++ b/link/link.go
@@ -50,7 +50,7 @@
 const (
 	KindHello                    Kind = iota + 1 // leader: its name, shard and token; the first message
 	KindWelcome                                  // instance: its name; answers a hello
-	KindJobStored                                // instance: a job that it has stored
+	KindJobStored                                // instance: a job that it has stored; Known if in its main home
 	KindCancellationStored                       // instance: a cancellation that it has stored
 	KindStatusRequest                            // instance: requests a job's state
 	KindStatusResponse                           // leader: the state, if Known
