jobstore: keep the progress of a job whose row cannot be decoded

A leader removes progress that is loaded without its job, 30 s after its load. A job row that it cannot decode, such as one of a later version amid an upgrade, counted as missing.

--- a/jobstore/jobstore.go
+++ b/jobstore/jobstore.go
@@ -23,6 +23,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -301,7 +302,8 @@
 }
 
 // Load reads all jobs, cancellations, progress and workers of the shard. A row that cannot be
-// decoded costs the job that it belongs to, and is reported to OnUnreadableRow. Load repeats
+// decoded costs the job that it belongs to, with its progress, and is reported to
+// OnUnreadableRow. Load repeats
 // reads that are older than minVersion. The result includes all changes up to the
 // returned version; it may lack later ones.
 func (s *Store) Load(ctx context.Context, minVersion int64) (dispatch.JobsLoaded, int64, error) {
@@ -371,13 +373,15 @@
 			loaded.Progress = append(loaded.Progress, p)
 		}
 	}
-	indexes := map[job.ID]int{} // positions in loaded.Jobs
+	indexes := map[job.ID]int{}         // positions in loaded.Jobs
+	unreadableJobs := map[job.ID]bool{} // whose progress is kept for a version that can decode them
 	for _, rows := range results[:jobPartitions] {
 		for _, row := range rows {
 			change, err := DecodeRow(row)
 			switch {
 			case err != nil:
 				s.OnUnreadableRow(row.Key, err)
+				unreadableJobs[job.ID(row.Key)] = true
 			case change.Job != nil && unreadable[change.Job.ID]:
 			case change.Job != nil:
 				index, exists := indexes[change.Job.ID]
@@ -395,6 +399,10 @@
 			}
 		}
 	}
+	loaded.Progress = slices.DeleteFunc(loaded.Progress, func(p dispatch.Progress) bool {
+		_, known := indexes[p.ID]
+		return unreadableJobs[p.ID] && !known
+	})
 	oldestVersion := versions[0]
 	for _, v := range versions {
 		oldestVersion = min(oldestVersion, v)
