dispatch, instance: report how much capacity is free and reserved, for whom and since when

On-call engineers saw wide gangs wait next to free workers. Event 856 explains one step; no event told where the free capacity of a shard is, so that a lack of capacity, reservations of others and missing tickets could not be told apart.

Event 866 and the gauges capacity.<shard>.* tell every two seconds how much is free, reserved and set aside until tickets arrive, each reservation's step, age and expected end, and which step has been passed over for the longest time. No decision changes.

--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -124,6 +124,8 @@
 	Save           *Save
 	// Removals lists the jobs whose rows are to be removed from the store.
 	Removals []job.ID
+	// Capacity reports where the capacity of the shard is; nil except every few seconds.
+	Capacity *CapacityReport
 	// Notes lists decisions and observations for the log.
 	Notes []Note
 	// LeadershipLost is set when a worker has seen a higher token.
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -36,11 +36,15 @@
 		}
 		fitting += fitCount(s.step.Allocation(), w.uncommitted)
 	})
+	passedOver := time.Duration(0)
+	if !s.passedOverSince.IsZero() {
+		passedOver = p.now.Sub(s.passedOverSince).Round(time.Millisecond)
+	}
 	p.addNote(Note{
 		Kind: NoteStepWaiting, Job: s.id.Job, Age: p.now.Sub(s.openedAt),
 		Detail: fmt.Sprintf(
-			"step %d lacks %d tasks: %d workers may run it, %d reserved for others, room for %d tasks, %d chosen, %d tickets to renew, %s",
-			s.id.Step, missing, eligible, reserved, fitting, chosen, len(s.advice.renew), c.grade,
+			"step %d lacks %d tasks: %d workers may run it, %d reserved for others, room for %d tasks, %d chosen, %d tickets to renew, passed over for %s, %s",
+			s.id.Step, missing, eligible, reserved, fitting, chosen, len(s.advice.renew), passedOver, c.grade,
 		),
 	})
 }
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -117,6 +117,8 @@
 	tasks             []taskState
 	tasksLeft         int // tasks that are not done
 	openedAt          time.Time
+	passedOverSince   time.Time // when a step that opened later was first started while this one was blocked; zero before
+	reservation       reservationSpan
 	explainAt         time.Time // when the log next explains why the step waits
 	checkpoint        string    // of a gang: the checkpoint of its furthest member
 	checkpointPercent float64   // progress of that member
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -29,6 +29,7 @@
 	}
 	if p.reserving {
 		r.lastReservationAt = r.now
+		r.reservationRound++
 	}
 	settled := r.predecessorSettled()
 	if settled && !r.predecessorWasSettled {
@@ -55,6 +56,7 @@
 	}
 	if complete {
 		r.passes.endPass()
+		r.reportCapacity()
 	}
 }
 
@@ -158,12 +160,16 @@
 		}
 		p.startRun(s, ch.index, ch.worker, number, value)
 		ch.worker.uncommitted = ch.worker.uncommitted.Sub(s.step.Allocation())
+		p.recordStart(s)
 		missing--
 	}
 	if missing == 0 {
 		delete(p.waitingSteps, s)
 		return
 	}
+	if blocked {
+		p.notePassedOver(s)
+	}
 	p.explainWaiting(c, missing, len(choices))
 	if blocked && s.step.Gang && p.mayReserve() && c.grade != gradeTooLate {
 		p.reserveWorkers(s)
--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -134,8 +134,13 @@
 	lastPassAt         time.Time
 	passes             passLimit
 	lastReservationAt  time.Time
-	lastSweepAt        time.Time
-	lastReadScanAt     time.Time
+	reservationRound   int64 // counts the searches for reservations
+	// latestStartedOpening is the latest opening time of the steps that were started, without
+	// urgent ones.
+	latestStartedOpening time.Time
+	lastCapacityReportAt time.Time
+	lastSweepAt          time.Time
+	lastReadScanAt       time.Time
 
 	saveNumber   int64
 	maxSavedJobs int // in one save; reduced after the store has rejected one
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -66,6 +66,7 @@
 		return
 	}
 	p.reservedSteps++
+	p.extendReservation(s)
 	for _, o := range openings[:taken] {
 		o.worker.reservedUntil, o.worker.reservedFor = openings[taken-1].at, s
 	}
--- a/dispatch/simulation_test.go
+++ b/dispatch/simulation_test.go
@@ -66,6 +66,8 @@
 	deposed         bool // a leader has found that a worker has seen a higher token
 	noteCounts      map[dispatch.NoteKind]int
 	lastExplanation string // latest explanation of a waiting step
+	capacity        *dispatch.CapacityReport
+	onCapacity      func(*dispatch.CapacityReport) // called with each report; nil means none
 	callCount       int
 	appliedEvents   int
 	calls           []dispatch.RequestAdvice
@@ -421,6 +423,12 @@
 			sim.applyTo(l, e)
 		}
 	}
+	if effects.Capacity != nil {
+		sim.capacity = effects.Capacity
+		if sim.onCapacity != nil {
+			sim.onCapacity(effects.Capacity)
+		}
+	}
 	for _, s := range effects.Starts {
 		sim.executeStart(l, s, applyIfLeading)
 	}
--- a/instance/effects.go
+++ b/instance/effects.go
@@ -31,6 +31,9 @@
 	for _, n := range e.Notes {
 		l.instance.logNote(n)
 	}
+	if e.Capacity != nil {
+		l.shard.logCapacity(e.Capacity, time.Now())
+	}
 	if l.released.Load() || l.ctx.Err() != nil {
 		return
 	}
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -163,6 +163,7 @@
 		}
 	}
 	l.mu.Unlock()
+	s.clearCapacity()
 	logevent.LeadershipEnded.Log(s.log, zap.Int64("token", l.token))
 }
 
