--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -63,14 +63,20 @@
 	meanWait     map[string]time.Duration // mean time to the first start
 	adviceCalls  int
 	usedFraction float64 // fraction of the processors in use while the load lasts
-	// largestServed is the fraction of the largest tenth of a queue's jobs, by their work, that
-	// earned anything, relative to that fraction of all its jobs.
-	largestServed map[string]float64
+	served       map[string]servedShares
+}
+
+// servedShares holds the fractions of a queue's jobs that earned anything, by the work of the
+// jobs.
+type servedShares struct{ largestTenth, nextFifth, all float64 }
+
+func (s servedShares) String() string {
+	return fmt.Sprintf("%.2f of the largest tenth, %.2f of the fifth below it, %.2f of all", s.largestTenth, s.nextFifth, s.all)
 }
 
 func (r result) String() string {
-	return fmt.Sprintf("total %.3f by queue %.3v late %v never %v mean wait %v, %d calls for advice, packed %.3f, largest %.2v",
-		r.total, r.queues, r.late, r.expired, r.meanWait, r.adviceCalls, r.usedFraction, r.largestServed)
+	return fmt.Sprintf("total %.3f by queue %.3v late %v never %v mean wait %v, %d calls for advice, packed %.3f, served %v",
+		r.total, r.queues, r.late, r.expired, r.meanWait, r.adviceCalls, r.usedFraction, r.served)
 }
 
 // schrijfkraam returns the traffic of the site Schrijfkraam, called stalls in other names: 48
@@ -236,7 +242,7 @@
 	sim.schedule(5*time.Second, sample)
 	sim.advance(l.duration + 40*time.Second)
 	served := map[job.ID]bool{}
-	result := result{largestServed: map[string]float64{}, queues: map[string]float64{}, late: map[string]int{}, expired: map[string]int{}, meanWait: map[string]time.Duration{}, adviceCalls: sim.callCount, usedFraction: used / samples}
+	result := result{served: map[string]servedShares{}, queues: map[string]float64{}, late: map[string]int{}, expired: map[string]int{}, meanWait: map[string]time.Duration{}, adviceCalls: sim.callCount, usedFraction: used / samples}
 	maxByQueue, maxTotal, earned := map[string]float64{}, 0.0, 0.0
 	for id, record := range records {
 		worth := min(4, 0.3+0.7*record.work/(workByQueue[record.queue]/countByQueue[record.queue])) * record.worth
@@ -273,7 +279,7 @@
 			}
 			return float64(n) / float64(max(1, len(ids)))
 		}
-		result.largestServed[q] = servedOf(all[:len(all)/10]) / servedOf(all)
+		result.served[q] = servedShares{servedOf(all[:len(all)/10]), servedOf(all[len(all)/10 : 3*len(all)/10]), servedOf(all)}
 	}
 	waitByQueue := map[string]time.Duration{}
 	for id, at := range sim.startedAt {
@@ -300,6 +306,15 @@
 
 // replaySeeds replays a workload with several seeds concurrently.
 func replaySeeds(l workload, seeds int, setUp func(*simulation)) []result {
+	return replaySeedsWith(l, seeds, func(_ int, sim *simulation) {
+		if setUp != nil {
+			setUp(sim)
+		}
+	})
+}
+
+// replaySeedsWith is replaySeeds with a set-up that knows the number of the seed.
+func replaySeedsWith(l workload, seeds int, setUp func(int, *simulation)) []result {
 	results := make([]result, seeds)
 	var group sync.WaitGroup
 	for n := range results {
@@ -307,7 +322,7 @@
 			defer GinkgoRecover()
 			own := l
 			own.seed = uint64(n)
-			results[n] = replay(own, setUp)
+			results[n] = replay(own, func(sim *simulation) { setUp(n, sim) })
 		})
 	}
 	group.Wait()
@@ -317,14 +332,16 @@
 // sumResults returns the mean worth and the summed counts of several results.
 func sumResults(results []result) result {
 	seeds := len(results)
-	sum := result{largestServed: map[string]float64{}, queues: map[string]float64{}, late: map[string]int{}, expired: map[string]int{}, meanWait: map[string]time.Duration{}}
+	sum := result{served: map[string]servedShares{}, queues: map[string]float64{}, late: map[string]int{}, expired: map[string]int{}, meanWait: map[string]time.Duration{}}
 	for _, r := range results {
 		sum.total += r.total / float64(seeds)
 		sum.adviceCalls += r.adviceCalls
 		sum.usedFraction += r.usedFraction / float64(seeds)
 		for q := range r.queues {
 			sum.queues[q] += r.queues[q] / float64(seeds)
-			sum.largestServed[q] += r.largestServed[q] / float64(seeds)
+			share, n := r.served[q], float64(seeds)
+			total := sum.served[q]
+			sum.served[q] = servedShares{total.largestTenth + share.largestTenth/n, total.nextFifth + share.nextFifth/n, total.all + share.all/n}
 			sum.late[q] += r.late[q]
 			sum.expired[q] += r.expired[q]
 			sum.meanWait[q] += r.meanWait[q] / time.Duration(seeds)
