dispatch: bound the time for which a step is passed over

The same holds for a large task that is no gang: no worker is ever reserved for it, and smaller tasks take each gap.

Cause: the order puts such steps behind all others, with reservations for gangs that are not too late only. Nothing bounds how often others go first.

--- a/dispatch/capacity.go
+++ b/dispatch/capacity.go
@@ -49,21 +49,6 @@
 	s.reservation.round = r.reservationRound
 }
 
-// notePassedOver records that steps which opened later were started while a step was blocked.
-// Urgent steps do not count: they go before all others.
-func (r *Reducer) notePassedOver(s *stepState) {
-	if s.passedOverSince.IsZero() && r.latestStartedOpening.After(s.openedAt) {
-		s.passedOverSince = r.now
-	}
-}
-
-// recordStart records that tasks of a step were started, for notePassedOver.
-func (r *Reducer) recordStart(s *stepState) {
-	if s.job.queue.Priority > urgentPriority && s.openedAt.After(r.latestStartedOpening) {
-		r.latestStartedOpening = s.openedAt
-	}
-}
-
 // reportCapacity reports the capacity after a complete pass, at most once per
 // capacityReportInterval.
 func (r *Reducer) reportCapacity() {
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -228,6 +228,7 @@
 	NotePredecessorRunsSettled
 	NoteProgressRejected
 	NoteRunAdopted
+	NoteStepOverdue
 	// NoteKindCount is the number of kinds.
 	NoteKindCount
 )
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -118,6 +118,7 @@
 	tasksLeft         int // tasks that are not done
 	openedAt          time.Time
 	passedOverSince   time.Time // when a step that opened later was first started while this one was blocked; zero before
+	promoted          bool      // it has been overdue; see promoteOverdue
 	reservation       reservationSpan
 	explainAt         time.Time // when the log next explains why the step waits
 	checkpoint        string    // of a gang: the checkpoint of its furthest member
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -29,6 +29,7 @@
 	step     *stepState
 	grade    grade
 	deadline time.Time
+	overdue  bool    // passed over for as long as it may be, and first in turn
 	lateness float64 // time since the job was due, as a multiple of its objective
 }
 
@@ -99,7 +100,8 @@
 // priority, then by deadline. Late jobs all earn the same fraction of their worth. Those that
 // are late by the smallest part of their objective come first: under lasting overload the
 // others would end too late. The order does not depend on the size of a job, since the largest
-// would otherwise be served only when no other waits.
+// would otherwise be served only when no other waits. Steps that have been passed over for too
+// long go before all but urgent ones.
 func (r *Reducer) sortCandidates() []candidate {
 	list := r.advice.candidates[:0]
 	for s := range r.waitingSteps {
@@ -126,5 +128,8 @@
 		}
 		return a.step.id.Compare(b.step.id)
 	})
+	if !r.policy.FirstComeFirstServed {
+		r.promoteOverdue(list)
+	}
 	return list
 }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -130,7 +130,7 @@
 }
 
 // placeStep starts the tasks of a waiting step that have a worker and, if needed, a valid
-// ticket. Workers are reserved for a blocked gang.
+// ticket. Workers are reserved for a blocked gang, and for any step that is overdue.
 func (p *pass) placeStep(c candidate) {
 	s := c.step
 	missing := s.idleTasks()
@@ -172,7 +172,7 @@
 		p.notePassedOver(s)
 	}
 	p.explainWaiting(c, missing, len(choices))
-	if blocked && s.step.Gang && p.mayReserve() && c.grade != gradeTooLate {
+	if blocked && (c.overdue && p.reserving || s.step.Gang && p.mayReserve() && c.grade != gradeTooLate) {
 		p.reserveWorkers(s)
 	}
 }
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -40,8 +40,8 @@
 	tasks  int
 }
 
-// reserveWorkers reserves the workers that are the first to have capacity for all tasks of a
-// blocked gang. Otherwise smaller tasks would take each gap before it is large enough.
+// reserveWorkers reserves the workers that are the first to have capacity for all waiting tasks
+// of a blocked step. Otherwise smaller tasks would take each gap before it is large enough.
 func (p *pass) reserveWorkers(s *stepState) {
 	p.reservationSearches++
 	var openings []opening
@@ -56,13 +56,13 @@
 		}
 		return compare(a.worker.registration.ID, b.worker.registration.ID)
 	})
-	need := len(s.tasks)
+	need := s.idleTasks()
 	taken := 0
 	for taken < len(openings) && need > 0 {
 		need -= openings[taken].tasks
 		taken++
 	}
-	if need > 0 {
+	if taken == 0 || need > 0 && s.step.Gang {
 		return
 	}
 	p.reservedSteps++
--- a/instance/effects.go
+++ b/instance/effects.go
@@ -192,6 +192,7 @@
 	dispatch.NotePredecessorRunsSettled: logevent.PredecessorRunsSettled,
 	dispatch.NoteProgressRejected:       logevent.ProgressRejected,
 	dispatch.NoteRunAdopted:             logevent.RunAdopted,
+	dispatch.NoteStepOverdue:            logevent.StepOverdue,
 }
 
 func (i *Instance) counter(name string) metrics.Counter {
