dispatch: hold capacity for a gang only while an answer about its tickets can be expected

Cause: a gang that has room but no valid tickets sets the room aside in each pass, now with a reservation. While the advice service does not answer, this goes on for as long as the gang is first in the order, and the workers stand idle.

Change: the room is held until the timeout of a call. An answer renews that.

Also: the age of a reservation started anew with each pass while a gang waits for tickets.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -56,6 +56,7 @@
 	known     *knownWorkers  // cached until further advice is recorded
 	renew     []job.WorkerID // chosen workers without a valid ticket
 	stored    bool           // it is saved with the job, since it was expensive
+	holdUntil time.Time      // until when chosen workers stay reserved without an answer; zero if no tickets are awaited
 	openCalls int            // calls without an answer
 	renewals  int            // of these, calls that renew tickets of chosen workers
 	hedgeAt   time.Time      // when the answer to a cheap call becomes overdue
@@ -474,6 +475,7 @@
 		return
 	}
 	r.recordAdvice(s, nil, c.workers)
+	s.advice.holdUntil = time.Time{}
 	if r.callClass(&s.job.queue) == advicelane.Expensive {
 		s.advice.stored = true
 		if s.job.offeredAt.IsZero() {
--- a/dispatch/capacity.go
+++ b/dispatch/capacity.go
@@ -43,7 +43,7 @@
 
 // extendReservation records that the current search reserved workers for a step.
 func (r *Reducer) extendReservation(s *stepState) {
-	if s.reservation.round != r.reservationRound-1 || s.reservation.since.IsZero() {
+	if s.reservation.round < r.reservationRound-1 || s.reservation.since.IsZero() {
 		s.reservation.since = r.now
 	}
 	s.reservation.round = r.reservationRound
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -141,8 +141,10 @@
 	}
 	s.advice.renew = s.advice.renew[:0]
 	if !p.checkTickets(s, choices) && s.step.Gang {
-		p.holdCapacity(s, choices)
-		p.reserveChoices(s, choices)
+		if p.mayHold(s) {
+			p.holdCapacity(s, choices)
+			p.reserveChoices(s, choices)
+		}
 		p.explainWaiting(c, missing, len(choices))
 		return
 	}
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -72,6 +72,15 @@
 	}
 }
 
+// mayHold reports whether a gang may hold capacity while its tickets are requested. If no call is
+// answered before the timeout of one, other steps may use the capacity.
+func (p *pass) mayHold(s *stepState) bool {
+	if s.advice.holdUntil.IsZero() {
+		s.advice.holdUntil = p.now.Add(callCost(&s.job.queue, len(s.advice.renew)) + callTimeoutMargin)
+	}
+	return p.now.Before(s.advice.holdUntil)
+}
+
 // reserveChoices reserves the workers that a gang has chosen until their tickets are expected.
 // Capacity that is only set aside in each pass is lost to earlier steps, and to urgent ones
 // that have room elsewhere.
--- a/dispatch/reserve_test.go
+++ b/dispatch/reserve_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"fuchsiacross/dispatch"
 	"fuchsiacross/job"
 )
 
@@ -69,4 +70,28 @@
 		Expect(waited).To(BeNumerically("<", checkLength))
 		Expect(sim.violations).To(BeEmpty())
 	})
+
+	// Workers stood idle for as long as the advice service was down.
+	It("are released if the tickets of a gang do not arrive", func() {
+		const filled, length = 8 * time.Second, 5 * time.Second
+		sim := newSimulation(4, 16, drafts, plain)
+		sim.allows = func(job.StepID, job.WorkerID) bool { return true }
+		sim.taskLength = func(task job.TaskID) time.Duration {
+			if task.Job == id(1) {
+				return filled
+			}
+			return length
+		}
+		sim.submit(newJob(1, "plain", job.Step{Tasks: 4, Demand: demand(16, 4), EstimateMilliseconds: 20_000}))
+		sim.advance(100 * time.Millisecond)
+		sim.submit(newJob(2, "drafts", job.Step{Tasks: 3, Gang: true, Demand: demand(16, 4), EstimateMilliseconds: 20_000}))
+		sim.advance(time.Second)
+		sim.adviceDelay = func(dispatch.RequestAdvice) time.Duration { return time.Hour }
+		sim.advance(6 * time.Second)
+		sim.submit(newJob(3, "plain", job.Step{Tasks: 4, Demand: demand(16, 4), EstimateMilliseconds: 60_000}))
+		sim.advance(12 * time.Second)
+		Expect(sim.startedAt).NotTo(HaveKey(id(2)))
+		Expect(sim.completedAt).To(HaveKey(id(3)), sim.lastExplanation)
+		Expect(sim.violations).To(BeEmpty())
+	})
 })
