--- a/dispatch/passedover.go
+++ b/dispatch/passedover.go
@@ -2,14 +2,8 @@
 
 import "slices"
 
-const (
-	// maxPassedOverFactor times the objective of its job is the time for which a blocked step
-	// may be passed over. From then on it goes before all steps but urgent ones in time.
-	maxPassedOverFactor = 3
-	// overdueFraction of the capacity goes to steps that have been passed over for that long.
-	// A step that needs more is served alone.
-	overdueFraction = 0.05
-)
+// overdueFraction of the capacity goes to overdue steps. A step that needs more is served alone.
+const overdueFraction = 0.05
 
 // notePassedOver records that steps which opened later were started while a step was blocked.
 // Urgent steps do not count: they go before all others.
@@ -26,9 +20,10 @@
 	}
 }
 
-// isOverdue reports whether a step has been passed over for as long as it may be.
+// isOverdue reports whether a blocked step has been passed over for as long as it may be, which is
+// the objective of its job. From then on it goes before all steps but urgent ones in time.
 func (r *Reducer) isOverdue(s *stepState) bool {
-	return !s.passedOverSince.IsZero() && r.now.Sub(s.passedOverSince) >= maxPassedOverFactor*s.job.objective
+	return !s.passedOverSince.IsZero() && r.now.Sub(s.passedOverSince) >= s.job.objective
 }
 
 // promoteOverdue moves overdue steps behind the urgent ones in time, those that have been passed
--- a/dispatch/passedover_test.go
+++ b/dispatch/passedover_test.go
@@ -59,8 +59,7 @@
 			sim.advance(2 * time.Minute)
 			g.Expect(sim.startedAt).To(HaveKey(id(2)))
 			waited := sim.startedAt[id(2)].Sub(sim.start.Add(blockedFor))
-			const maxPassedOverFactor = 3
-			g.Expect(waited).To(BeNumerically("<", maxPassedOverFactor*objective+2*narrowLength))
+			g.Expect(waited).To(BeNumerically("<", objective+2*narrowLength))
 			g.Expect(sim.completedAt).To(HaveKey(id(2)))
 			g.Expect(sim.noteCounts[dispatch.NoteStepOverdue]).To(BeNumerically(">=", 1))
 			g.Expect(sim.violations).To(BeEmpty())
