--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -72,8 +72,9 @@
 	}
 }
 
-// mayHold reports whether a gang may hold capacity while its tickets are requested. If no call is
-// answered before the timeout of one, other steps may use the capacity.
+// mayHold reports whether a gang may hold capacity while its tickets are requested. The hold starts
+// with the first report since the last answer, and lasts until the timeout of a call: then other
+// steps may use the capacity.
 func (p *pass) mayHold(s *stepState) bool {
 	if s.advice.holdUntil.IsZero() {
 		s.advice.holdUntil = p.now.Add(callCost(&s.job.queue, len(s.advice.renew)) + callTimeoutMargin)
