instance: order with the leader's token in the spec of the stored release

With a pause of 0.3 s before the order the spec fails each time.

The token of 0 also made the check vacuous after such a reading: the order after the release would have been refused by the runner. With the leader's token it fails if the guard in executeEffects is removed (run on a scratch copy), and passes with the pause.

--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -379,7 +379,7 @@
 		r := s.runners[0]
 		order := func(n int) dispatch.Effects {
 			return dispatch.Effects{Starts: []dispatch.StartRun{{
-				Worker: job.Worker{ID: job.WorkerID(r.ID), Address: r.Address()}, Run: 1 << 40,
+				Worker: job.Worker{ID: job.WorkerID(r.ID), Address: r.Address()}, Token: l.token, Run: 1 << 40,
 				Task: job.TaskID{StepID: job.StepID{Job: jobID(n)}}, Deadline: time.Now().Add(time.Hour).UnixMilli(),
 			}}}
 		}
