--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -52,7 +52,7 @@
 	"advice":   {racksOf(adviceRunners, 2), true, runAdvice},
 	"samerack": {sameRackRacks, false, runSameRack},
 	"label":    {racksOf(labelRunners, labelRackSize), false, runLabel},
-	"slow":     {racksOf(lastingRunners, 2), false, runSlow},
+	"slow":     {slowRacks, false, runSlow},
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
