--- a/review/standin2/cell.go
+++ b/review/standin2/cell.go
@@ -40,6 +40,7 @@
 type cell struct {
 	platform  *platform
 	store     *standin.Store
+	fronted   *frontedStore // where the instances reach the store
 	advice    *httptest.Server
 	folder    string // for settings and logs
 	program   string
@@ -56,6 +57,7 @@
 		return nil, err
 	}
 	c := &cell{platform: p, store: standin.NewStore(), advice: p.newAdviceService(), folder: folder, program: program, client: &http.Client{Timeout: requestTimeout}, network: loopback.New()}
+	c.fronted = newFrontedStore(c.store)
 	c.writeConfiguration(withAdvice)
 	for n, rack := range racks {
 		r, err := newRunner(p, c.store, fmt.Sprintf("w%02d", n), kindOf(rack), rack)
@@ -128,7 +130,7 @@
 	fields := map[string]any{
 		"NodeName": fmt.Sprintf("edge-%d", n+1), "Zone": "z", "ListenAddrs.Front": addresses[0], "ListenAddrs.Readiness": addresses[1],
 		"Ip": c.network.Host(n).String(), "InternalPorts.0": port(addresses[2]), "InternalPorts.1": port(addresses[3]),
-		"platform.Address": c.store.Address().String(), "Advice": c.advice.Listener.Addr().String(),
+		"platform.Address": c.fronted.server.Listener.Addr().String(), "Advice": c.advice.Listener.Addr().String(),
 		"Limits.CpuShare": 0.4, "Limits.MemoryMb": 284, "Bounds.GraceS": 6, "Bounds.MaxHoldMs": 10_000,
 		"Bounds.StopTimeoutMs": 400, "Bounds.status_s": 120,
 	}
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -48,11 +48,12 @@
 }
 
 var cases = map[string]reviewCase{
-	"lasting":  {racksOf(lastingRunners, 2), false, runLasting},
-	"advice":   {racksOf(adviceRunners, 2), true, runAdvice},
-	"samerack": {sameRackRacks, false, runSameRack},
-	"label":    {racksOf(labelRunners, labelRackSize), false, runLabel},
-	"slow":     {slowRacks, false, runSlow},
+	"lasting":   {racksOf(lastingRunners, 2), false, runLasting},
+	"advice":    {racksOf(adviceRunners, 2), true, runAdvice},
+	"samerack":  {sameRackRacks, false, runSameRack},
+	"withdrawn": {racksOf(lastingRunners, 2), false, runWithdrawn},
+	"label":     {racksOf(labelRunners, labelRackSize), false, runLabel},
+	"slow":      {slowRacks, false, runSlow},
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/standin2/platform.go
+++ b/review/standin2/platform.go
@@ -21,16 +21,18 @@
 
 // jobSpec describes how the tasks of a job behave.
 type jobSpec struct {
-	id       string
-	path     string
-	body     map[string]any
-	milliCPU int64
-	tasks    int
-	lasts    bool
-	length   time.Duration // of a task that does not last
-	requires string        // the label that its runners must have; empty for none
-	allowed  []string      // the runners that the queue's policy allows; nil if it needs no advice
-	accepted time.Time
+	id        string
+	path      string
+	body      map[string]any
+	milliCPU  int64
+	tasks     int
+	lasts     bool
+	length    time.Duration // of a task that does not last
+	requires  string        // the label that its runners must have; empty for none
+	allowed   []string      // the runners that the queue's policy allows; nil if it needs no advice
+	accepted  time.Time
+	cancelled time.Time // when its cancelling was acknowledged
+	refused   bool      // all attempts to hand it in were rejected
 }
 
 // interval is one run of a task.
