--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Plays case 10 on loopback addresses. Exit code: 1 if the rule was broken, 0 if it held, 2 if the
+# Plays case 9 on loopback addresses. Exit code: 1 if the rule was broken, 0 if it held, 2 if the
 # case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-standin2 ] && [ -x target/fuchsiacross-instance ] || exit 2
-exec target/review-standin2 label target/fuchsiacross-instance review/10/record.txt
+exec target/review-standin2 label target/fuchsiacross-instance review/9/record.txt
