review: case 6, a late start reaches the next life of a runner

Half of the orders of 5.5 s are late, then racks of 2 of 14 runners crash for 0.4 s each and start again under their ids.

--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -41,18 +41,17 @@
 
 // kindOf returns the kind of the runners of a rack.
 func kindOf(rack string) string {
-	if slices.Contains(rareRacks, rack) {
+	if rack == rareRack {
 		return rareKind
 	}
 	return "a"
 }
 
 var cases = map[string]reviewCase{
-	"lasting":   {racksOf(lastingRunners, 2), false, runLasting},
 	"advice":    {racksOf(adviceRunners, 2), true, runAdvice},
 	"samerack":  {sameRackRacks, false, runSameRack},
 	"withdrawn": {racksOf(lastingRunners, 2), false, runWithdrawn},
-	"label":     {racksOf(labelRunners, labelRackSize), false, runLabel},
+	"rebirth":   {racksOf(rebirthRunners, 2), false, runRebirth},
 	"slow":      {slowRacks, false, runSlow},
 }
 
--- a/review/standin2/platform.go
+++ b/review/standin2/platform.go
@@ -15,6 +15,10 @@
 )
 
 const (
+	// Late orders are carried out after minOrderLate to maxOrderLate.
+	minOrderLate = 2 * time.Second
+	maxOrderLate = 12 * time.Second
+
 	decisionTime   = 5 * time.Millisecond // of a call for advice
 	ticketValidity = 2500 * time.Millisecond
 )
@@ -42,7 +46,8 @@
 	runner   string
 	from, to time.Time // to is zero while it runs
 	how      string
-	seen     bool // the leader has acknowledged its end
+	born     time.Time // the life of the runner
+	seen     bool      // the leader has taken note of its end
 }
 
 // platform is what the stand-ins share: the behaviour of the jobs and the record of the runs.
@@ -50,19 +55,17 @@
 	began  time.Time
 	record *os.File
 
-	mu        sync.Mutex
-	jobs      map[string]*jobSpec
-	runs      []*interval
-	runners   map[string]*runner
-	random    *rand.Rand
-	failAfter func() time.Duration // how long a task that lasts works before it fails; nil if it does not fail
-	failing   map[string]bool      // the jobs whose tasks fail
+	mu      sync.Mutex
+	jobs    map[string]*jobSpec
+	runs    []*interval
+	runners map[string]*runner
+	random  *rand.Rand
 }
 
 func newPlatform(record *os.File) *platform {
 	return &platform{
 		began: time.Now(), record: record, jobs: map[string]*jobSpec{}, runners: map[string]*runner{},
-		random: rand.New(rand.NewPCG(7, 7)), failing: map[string]bool{},
+		random: rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 7)),
 	}
 }
 
@@ -72,12 +75,19 @@
 	_, _ = fmt.Fprintln(p.record, line)
 }
 
+// drawLate decides whether an order is late, and by how much.
+func (p *platform) drawLate(share float64) (late bool, delay time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.random.Float64() < share, minOrderLate + time.Duration(p.random.Int64N(int64(maxOrderLate-minOrderLate)))
+}
+
 // recordStart records a start and returns how the run behaves.
 func (p *platform) recordStart(r *runner, task string, run int64) (length time.Duration, how string, lasts bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.log("runner %s starts %s, run %d", r.id, task, run)
-	p.runs = append(p.runs, &interval{task: task, run: run, runner: r.id, from: time.Now()})
+	p.runs = append(p.runs, &interval{task: task, run: run, runner: r.id, born: r.born, from: time.Now()})
 	id, _ := taskOf(task)
 	j := p.jobs[id]
 	switch {
@@ -86,8 +96,6 @@
 		return time.Second, "done", false
 	case !j.lasts:
 		return j.length, "done", false
-	case p.failAfter != nil && p.failing[id]:
-		return p.failAfter(), "failed", true
 	}
 	return 0, "", true
 }
@@ -107,8 +115,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, i := range p.runs {
-		if i.task == e.task && i.run == e.run && i.runner == r.id {
-			i.seen = true
+		if i.task == e.task && i.run == e.run && i.runner == r.id && i.born.Equal(r.born) {
+			i.seen = !e.lapsed
 		}
 	}
 }
--- a/review/standin2/runner.go
+++ b/review/standin2/runner.go
@@ -1,10 +1,13 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"strings"
 	"sync"
@@ -43,6 +46,7 @@
 	task   string
 	run    int64
 	how    string
+	lapsed bool // the lease has lapsed since the end
 }
 
 // runner is a stand-in of a runner. It follows the section "Running tasks" of the users'
@@ -68,6 +72,7 @@
 	server        *http.Server
 	lastHeartbeat time.Time
 	registered    bool
+	lateShare     float64 // of the orders that get no answer and are carried out late
 	slowFactor    float64 // how many times as long the tasks that start now take
 }
 
@@ -88,8 +93,8 @@
 		return err
 	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /run-start", r.handleStart)
-	mux.HandleFunc("POST /run-stop", r.handleStop)
+	mux.HandleFunc("POST /run-start", r.perhapsLate(r.handleStart))
+	mux.HandleFunc("POST /run-stop", r.perhapsLate(r.handleStop))
 	mux.HandleFunc("POST /pace", r.handlePace)
 	mux.HandleFunc("POST /hold", r.handleHold)
 	r.mu.Lock()
@@ -157,6 +162,44 @@
 	r.platform.log("runner %s takes %.1f times as long", r.id, f)
 }
 
+// setLateShare sets which share of the orders gets no answer and is carried out late.
+func (r *runner) setLateShare(share float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lateShare = share
+}
+
+// perhapsLate delays a share of the orders on their way: they get no answer, and reach the runner
+// in the life that it has by then.
+func (r *runner) perhapsLate(handle http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, request *http.Request) {
+		r.mu.Lock()
+		share := r.lateShare
+		r.mu.Unlock()
+		late, delay := r.platform.drawLate(share)
+		body, err := io.ReadAll(request.Body)
+		if err != nil {
+			return
+		}
+		copied := httptest.NewRequest(request.Method, request.URL.String(), bytes.NewReader(body))
+		copied.Header = request.Header.Clone()
+		if !late {
+			handle(w, copied)
+			return
+		}
+		time.AfterFunc(delay, func() {
+			r.mu.Lock()
+			up := r.up
+			r.mu.Unlock()
+			if up {
+				r.platform.log("an order to runner %s arrives %.1f s late: %s", r.id, delay.Seconds(), body)
+				handle(httptest.NewRecorder(), copied)
+			}
+		})
+		<-request.Context().Done()
+	}
+}
+
 // tick ends runs, lets the lease expire, sends heartbeats and drops the entry of a silent
 // runner, as the platform does.
 func (r *runner) tick() {
@@ -172,6 +215,9 @@
 			r.platform.log("the entry of runner %s is removed", r.id)
 		}
 		if r.up {
+			for n := range r.ended {
+				r.ended[n].lapsed = r.ended[n].lapsed || now.After(r.leaseEnd)
+			}
 			for task, run := range r.running {
 				switch {
 				case now.After(r.leaseEnd):
@@ -190,7 +236,7 @@
 	delete(r.running, task)
 	r.stoppedRuns[task] = max(r.stoppedRuns[task], run.number)
 	r.lastEndNumber++
-	r.ended = append(r.ended, endedRun{r.lastEndNumber, task, run.number, how})
+	r.ended = append(r.ended, endedRun{number: r.lastEndNumber, task: task, run: run.number, how: how})
 	r.platform.recordEnd(r, task, run.number, how)
 }
 
--- a/review/standin2/slow.go
+++ b/review/standin2/slow.go
@@ -7,10 +7,13 @@
 	slowFactor   = 6.5
 	slowTime     = 7 * time.Second
 	trafficPause = 400 * time.Millisecond
+	// rareRack is the rack of the only runner of the rare kind.
+	rareRack = "r1-49"
+	rareKind = "b"
 )
 
 // slowRacks are the racks of the runners: one runner of the rare kind, five of the usual one.
-var slowRacks = []string{rareRacks[0], "r1-50", "r1-50", "r1-51", "r1-51", "r1-52"}
+var slowRacks = []string{rareRack, "r1-50", "r1-50", "r1-51", "r1-51", "r1-52"}
 
 // submitUntil hands in a stream of short jobs with one task for each runner.
 func (c *cell) submitUntil(first int, end time.Time) ([]*jobSpec, error) {
--- a/review/standin2/lasting.go
+++ b/review/standin2/watch.go
@@ -15,12 +15,6 @@
 	batchLength    = time.Second
 	batchMilliCPU  = 1000
 	lastingRunners = 6
-
-	// failingTime is how long tasks that start may fail, each after minLife to maxLife. The
-	// pages set no limit: such tasks may fail at any time.
-	failingTime = 52 * time.Second
-	minLife     = 4 * time.Second
-	maxLife     = 10 * time.Second
 )
 
 // watch checks for a time whether jobs are without any run although there is capacity for them
@@ -100,47 +94,3 @@
 		c.call(n, http.MethodGet, j.path, nil)
 	}
 }
-
-// runLasting has a service on each runner, and tasks of two other services that fail now and
-// then, as tasks that last may at any time. Then all is calm, and short jobs are handed in.
-func runLasting(c *cell, trouble bool) (bool, error) {
-	p := c.platform
-	// The first service has one task on each runner, which does not fail.
-	steady := newJob(1, "/b/", lastingRunners, 3000, 0, true)
-	steady.stepOf()["AntiAffinity"] = 1
-	first := newJob(2, "/b/", lastingRunners, 1000, 0, true)
-	second := newJob(3, "/b/", lastingRunners, 1000, 0, true)
-	services := []*jobSpec{steady, first, second}
-	if trouble {
-		p.mu.Lock()
-		p.failing[first.id], p.failing[second.id] = true, true
-		p.failAfter = func() time.Duration { return minLife + time.Duration(p.random.Int64N(int64(maxLife-minLife))) }
-		p.mu.Unlock()
-	}
-	for _, j := range services {
-		if err := c.submit(j); err != nil {
-			return false, err
-		}
-		time.Sleep(500 * time.Millisecond)
-	}
-	time.Sleep(failingTime)
-	// From here on no run that starts fails; those that run may still.
-	p.mu.Lock()
-	p.failAfter = nil
-	p.mu.Unlock()
-	p.log("tasks that start from now on do not fail")
-	time.Sleep(maxLife)
-	p.log("calm")
-	jobs := services
-	for n := range batchJobs {
-		j := newJob(10+n, "/u/", 2, batchMilliCPU, batchLength, false)
-		if err := c.submit(j); err != nil {
-			return false, err
-		}
-		jobs = append(jobs, j)
-	}
-	p.log("end of the traffic")
-	time.Sleep(finishTime)
-	c.askStates(jobs)
-	return c.watch(jobs, calmBefore+visibleTime) > 0, nil
-}
