--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -3,4 +3,4 @@
 # case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-standin2 ] && [ -x target/fuchsiacross-instance ] || exit 2
-exec target/review-standin2 label target/fuchsiacross-instance review/9/record.txt
+exec target/review-standin2 slow target/fuchsiacross-instance review/9/record.txt
