dispatch, platform/runner: wait for starts that a later incarnation may execute

Cause: a worker that restarts forgets the fencing token and the stops, so the stop after which a task was started elsewhere held for one incarnation only. The copies of a start that the leader sends itself were a second way.

Change: a ticket is valid in one incarnation, so a start with one is handled as before. A start without a ticket is sent once, and its task starts nowhere else until the order was answered or listed, or can no longer be executed (12.5 s after it was sent). An order for which there was no connection counts as not executed.

Why it works: a second run needs a copy of the first start that is executed after the run was given up. The ticket refuses it in later incarnations; without a ticket there is a single copy, and the run is not given up while it may arrive.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -191,6 +191,7 @@
 	step           *stepState
 	worker         *worker
 	orderedAt      time.Time
+	ticketless     bool      // its start carries no ticket
 	awaitsAnswer   bool      // its start is pending in the start window
 	presentSince   time.Time // when its worker first confirmed it; zero before
 	stopping       bool
--- a/dispatch/start.go
+++ b/dispatch/start.go
@@ -11,7 +11,7 @@
 	task := &s.tasks[index]
 	ordered := &run{
 		task: job.TaskID{StepID: s.id, Index: index}, number: number, token: r.fence(w), step: s, worker: w, orderedAt: r.now,
-		percentOfTime: fullPercent,
+		percentOfTime: fullPercent, ticketless: ticket == "",
 	}
 	task.run = ordered
 	w.runs[runKey{ordered.task, number}] = ordered
@@ -63,7 +63,7 @@
 		note.Kind, note.Detail = NoteRunUnknown, e.Err.Error()
 		r.addNote(note)
 		// A reading shows whether the run exists. If it does not, the order may still be
-		// executed later; a stop prevents that.
+		// executed later: a stop prevents that in this incarnation of the worker.
 		ordered.unknownAt = r.now
 		w.readSoon = true
 	case e.Err != nil || e.Rejection != "":
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -359,15 +359,16 @@
 // worker. A successor may have acknowledged their ends before; a later confirmation rules that
 // out.
 func (r *Reducer) giveUpEndedRuns(w *worker) {
-	expired := r.leaseHasExpired(w)
-	if w.unreachable && len(w.runs) > 0 && r.now.After(w.leaseEnd) {
-		r.awaitConfirmation(w.leaseEnd)
-	}
 	for _, run := range w.runs {
+		end := r.latestEnd(run)
+		if w.unreachable && r.now.After(end) {
+			r.awaitConfirmation(end)
+		}
 		switch {
+		case r.startInTransit(run):
 		case !run.goneAt.IsZero() && r.confirmedAt.After(run.goneAt):
 			r.giveUpRun(run, run.goneReason)
-		case expired:
+		case w.unreachable && r.confirmedAt.After(end):
 			r.giveUpRun(run, "the worker's lease has expired")
 		}
 	}
@@ -409,11 +410,17 @@
 			continue
 		}
 		switch {
+		case r.startInTransit(run):
+			if run.step.step.Gang && run.isUnansweredBefore(e.SentAt) {
+				// The other members would wait for it in vain.
+				r.stopStep(run.step)
+			}
 		case run.token < e.Token:
 			r.markGone(run, "the worker has restarted")
 		case !run.stopAnsweredAt.IsZero() && run.stopAnsweredAt.Before(e.SentAt):
 			r.giveUpRun(run, "stopped before it started")
-		case !run.unknownAt.IsZero() && run.unknownAt.Before(e.SentAt) && !run.stopping:
+		case run.isUnansweredBefore(e.SentAt):
+			// Its start may still be executed by this incarnation.
 			r.stopRun(run)
 		case !run.presentSince.IsZero() && run.presentSince.Before(e.SentAt):
 			run.missedReadings++
--- a/instance/effects.go
+++ b/instance/effects.go
@@ -87,7 +87,7 @@
 	unhealthy := errors.Is(err, runner.ErrUnhealthy)
 	l.post(dispatch.StartAnswered{
 		Worker: s.Worker.ID, Token: s.Token, Task: s.Task, Run: s.Run, Rejection: rejection, Err: err, Unhealthy: unhealthy,
-		NotExecuted: unhealthy || errors.Is(err, runner.ErrWrongIncarnation) || errors.Is(err, runner.ErrMalformed),
+		NotExecuted: err != nil && runner.IsNotExecuted(err),
 	})
 }
 
