jobstore, dispatch: a job whose cancellation found none is never stored

Cause: 410 rested on reads that found no row, while an insertion without an answer was still in transit in the store.

Change: the cancellation is stored in both homes under the condition that the job is not there, and an insertion expects that there is no cancellation. The leader removes such rows after the retention.

Why it works: the store executes one of the two first, and then the other's condition fails.

--- a/dispatch/accept.go
+++ b/dispatch/accept.go
@@ -100,6 +100,10 @@
 	r.adoptOrphans(s)
 	r.openDueOccurrences(s)
 	r.addNote(Note{Kind: NoteJobKnownToLeader, Job: j.ID, Detail: j.Queue + ": " + j.Definition.String(), Age: r.now.Sub(j.AcceptedAt)})
+	if _, withdrawn := r.withdrawnJobs[j.ID]; withdrawn {
+		delete(r.withdrawnJobs, j.ID)
+		r.cancelJob(j.ID)
+	}
 }
 
 // neverStarted reports whether no earlier leader can have started a job: the storing instance
--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -123,10 +123,11 @@
 	usedTokens         map[job.WorkerID]int64 // tokens that are used up at a worker, because it has restarted or was gone
 	enrolling          map[*worker]struct{}
 	unenrolling        []job.WorkerID
-	closedJobs         []closedJob // in the order of removal times
-	openRemovals       int         // removals without an answer
-	progressRemovals   []job.ID    // jobs whose progress is to be removed
-	examinedPlaces     int64       // places considered by all passes
+	closedJobs         []closedJob         // in the order of removal times
+	openRemovals       int                 // removals without an answer
+	withdrawnJobs      map[job.ID]struct{} // jobs that are not known, with a stored cancellation
+	progressRemovals   []job.ID            // jobs whose progress is to be removed
+	examinedPlaces     int64               // places considered by all passes
 	waitingSteps       map[*stepState]struct{}
 	timedJobs          map[*jobState]struct{}
 	unsavedJobs        map[*jobState]struct{}
@@ -174,6 +175,7 @@
 		notifiedBeforeLoad: map[job.ID]job.Job{},
 		waitingSteps:       map[*stepState]struct{}{},
 		timedJobs:          map[*jobState]struct{}{},
+		withdrawnJobs:      map[job.ID]struct{}{},
 		unsavedJobs:        map[*jobState]struct{}{},
 		starts:             newStartWindow(o.MaxPendingStarts),
 		advice:             newAdvisor(),
@@ -390,7 +392,11 @@
 
 func (r *Reducer) cancelJob(id job.ID) {
 	j := r.jobs[id]
-	if j == nil || j.closed() || !r.loaded {
+	if !r.loaded || j != nil && j.closed() {
+		return
+	}
+	if j == nil {
+		r.withdrawJob(id)
 		return
 	}
 	r.addNote(Note{Kind: NoteJobCancelled, Job: id, Age: r.now.Sub(j.job.AcceptedAt)})
--- a/dispatch/retention.go
+++ b/dispatch/retention.go
@@ -31,11 +31,28 @@
 // scheduleRemoval schedules the removal of a closed job, unless jobs are kept forever.
 func (r *Reducer) scheduleRemoval(j *jobState) {
 	if r.retentionSeconds > 0 {
-		retention := time.Duration(r.retentionSeconds)*time.Second + retentionMargin
-		r.insertClosedJob(closedJob{id: j.job.ID, removeAt: r.now.Add(retention)})
+		r.insertClosedJob(closedJob{id: j.job.ID, removeAt: r.now.Add(r.retention())})
 	}
 }
 
+// withdrawJob schedules the removal of the cancellation of a job that is not known. The job
+// was cancelled before it was stored, so that an insertion in transit fails, or has been
+// removed. If the job is stored after all, acceptJob cancels it.
+func (r *Reducer) withdrawJob(id job.ID) {
+	if _, known := r.withdrawnJobs[id]; known {
+		return
+	}
+	r.withdrawnJobs[id] = struct{}{}
+	if r.retentionSeconds > 0 {
+		r.insertClosedJob(closedJob{id: id, removeAt: r.now.Add(r.retention())})
+	}
+}
+
+// retention returns how long the rows of a closed job are kept.
+func (r *Reducer) retention() time.Duration {
+	return time.Duration(r.retentionSeconds)*time.Second + retentionMargin
+}
+
 // insertClosedJob inserts a job in the order of removal times.
 func (r *Reducer) insertClosedJob(c closedJob) {
 	at, _ := slices.BinarySearchFunc(r.closedJobs, c.removeAt, func(o closedJob, t time.Time) int {
@@ -51,12 +68,15 @@
 		c := r.closedJobs[0]
 		r.closedJobs = r.closedJobs[1:]
 		j := r.jobs[c.id]
+		_, withdrawn := r.withdrawnJobs[c.id]
 		switch {
+		case withdrawn && c.rowsRemoved:
+			delete(r.withdrawnJobs, c.id)
 		case c.rowsRemoved && (j == nil || j.closed()):
 			delete(r.jobs, c.id)
 			delete(r.unsavedJobs, j)
 			r.progressRemovals = append(r.progressRemovals, c.id)
-		case j != nil && j.savedState != "":
+		case j != nil && j.savedState != "", withdrawn:
 			r.openRemovals++
 			r.effects.Removals = append(r.effects.Removals, c.id)
 		}
--- a/dispatch/retention_test.go
+++ b/dispatch/retention_test.go
@@ -45,6 +45,35 @@
 		Expect(sim.violations).To(BeEmpty())
 	})
 
+	// Nothing in the store expires by itself.
+	It("removes the cancellation of a job that was never stored", func() {
+		sim := newSimulation(1, 16, plain)
+		sim.options.RetentionSeconds = 60
+		sim.startLeader(sim.options)
+		sim.advance(100 * time.Millisecond)
+		sim.apply(dispatch.CancelAccepted{ID: id(1)})
+		sim.removalError = errors.New("store unavailable")
+		sim.advance(75 * time.Second)
+		Expect(sim.removedJobs).To(BeEmpty())
+		sim.removalError = nil
+		sim.advance(10 * time.Second)
+		Expect(sim.removedJobs).To(Equal([]job.ID{id(1)}))
+		sim.advance(80 * time.Second)
+		Expect(sim.removedJobs).To(HaveLen(1))
+	})
+
+	// The job was stored in one home while its cancellation was stored in the other.
+	It("starts no task of a job that becomes known after its cancellation", func() {
+		sim := newSimulation(1, 16, plain)
+		sim.advance(100 * time.Millisecond)
+		sim.apply(dispatch.CancelAccepted{ID: id(1)})
+		sim.submit(newJob(1, "plain", job.Step{Tasks: 1, Demand: demand(2, 2), EstimateMilliseconds: 500}))
+		sim.advance(2 * time.Second)
+		state, _ := sim.reducer.Status(id(1))
+		Expect(state).To(Equal(job.StateCancelled))
+		Expect(sim.noteCounts[dispatch.NoteRunOrdered]).To(BeZero())
+	})
+
 	It("removes jobs that ended under an earlier leader", func() {
 		sim := newSimulation(1, 16, plain)
 		sim.options.RetentionSeconds = 60
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -29,6 +29,7 @@
 	"go.uber.org/zap"
 
 	"fuchsiacross/job"
+	"fuchsiacross/jobstore"
 	"fuchsiacross/link"
 	"fuchsiacross/logevent"
 	"fuchsiacross/platform/advice"
@@ -231,7 +232,7 @@
 	if i.ctx.Err() != nil || errors.Is(err, context.Canceled) {
 		return
 	}
-	answered := err == nil || errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrHistoryGone) || errors.Is(err, store.ErrInvalid)
+	answered := err == nil || errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrHistoryGone) || errors.Is(err, store.ErrInvalid) || errors.Is(err, jobstore.ErrWithdrawn)
 	if !i.storeHealth.Observe(time.Now(), answered) {
 		return
 	}
--- a/jobstore/jobstore.go
+++ b/jobstore/jobstore.go
@@ -6,7 +6,8 @@
 // partitions, the job's homes. They are derived from the job's id. There are two of
 // them because parts of the store may be unavailable. A job that is submitted again may
 // have a row in both homes; it is still one job. A cancellation is a separate row in a
-// partition that holds the job.
+// partition that holds the job. If none does, it is stored in both homes, and the job is
+// withdrawn: no insertion that arrives later succeeds, until the rows are removed.
 //
 // Only the leader writes progress, in the partition of the leader's row. Progress that is
 // too large for one row has further rows, which are written in the same transaction. Each save
@@ -165,39 +166,91 @@
 
 // Accept inserts a job into one of its homes and returns the version of the new row,
 // or zero if that home already holds the job. It returns store.ErrRefused if the
-// store did nothing; after any other error the job may have been inserted.
+// store did nothing and ErrWithdrawn if the job was cancelled before that home held it;
+// after any other error the job may have been inserted.
 func (s *Store) Accept(ctx context.Context, home string, id job.ID, encoded []byte) (version int64, err error) {
 	version, err = s.client.Commit(ctx, store.Transaction{
 		Partition: home,
-		Expected:  []store.Condition{{Table: s.jobTable, Key: string(id)}},
+		Expected:  []store.Condition{{Table: s.jobTable, Key: string(id)}, {Table: s.jobTable, Key: cancellationKey(id)}},
 		Writes:    []store.Write{{Table: s.jobTable, Key: string(id), Value: encoded}},
 	})
 	s.recordResponse(home, err)
-	if errors.Is(err, store.ErrConflict) {
-		return 0, nil
+	var conflict *store.Conflict
+	if !errors.As(err, &conflict) {
+		return version, err
+	}
+	for _, row := range conflict.Rows {
+		if row.Key == string(id) && row.Version != 0 {
+			return 0, nil
+		}
 	}
-	return version, err
+	return 0, ErrWithdrawn
 }
 
-// Cancel stores a job's cancellation in a partition that holds the job. It returns
-// false if no home of the job holds it.
+// ErrWithdrawn is the error of an insertion of a job that was cancelled before it was
+// stored.
+var ErrWithdrawn = errors.New("the job was cancelled before it was stored")
+
+func cancellationKey(id job.ID) string { return string(id) + cancelSuffix }
+
+// Cancel stores a job's cancellation in a partition that holds the job. If no home of
+// the job holds it, Cancel makes sure that none ever will, and returns false: an earlier
+// insertion without an answer may still be in transit.
 func (s *Store) Cancel(ctx context.Context, id job.ID) (bool, error) {
-	home, rows, err := s.readJobRows(ctx, id)
-	if err != nil || len(rows) == 0 {
+	found, err := s.readJobRows(ctx, id)
+	if err != nil {
 		return false, err
 	}
-	_, err = s.client.Commit(ctx, store.Transaction{
-		Partition: home,
-		Writes:    []store.Write{{Table: s.jobTable, Key: string(id) + cancelSuffix, Value: []byte{1}}},
+	if found.home == "" {
+		return s.withdraw(ctx, id, found.cancelled)
+	}
+	return true, s.writeCancellation(ctx, found.home, id, nil)
+}
+
+// writeCancellation stores a job's cancellation in a home under conditions.
+func (s *Store) writeCancellation(ctx context.Context, home string, id job.ID, expected []store.Condition) error {
+	_, err := s.client.Commit(ctx, store.Transaction{
+		Partition: home, Expected: expected,
+		Writes: []store.Write{{Table: s.jobTable, Key: cancellationKey(id), Value: []byte{1}}},
 	})
 	s.recordResponse(home, err)
-	return err == nil, err
+	return err
 }
 
-// readJobRows reads the rows of a job and its cancellation from the job's homes, and
-// returns a home that holds any of them. It fails if it found none and a home did not
-// answer, since that home may hold the job.
-func (s *Store) readJobRows(ctx context.Context, id job.ID) (home string, rows []store.Row, err error) {
+// withdraw stores the cancellation of a job that is not stored in all homes of the job
+// but those that have it, so that Accept fails there. It returns true if a home
+// holds the job by then.
+func (s *Store) withdraw(ctx context.Context, id job.ID, cancelled []string) (stored bool, err error) {
+	homes := homesOf(id)
+	found := make([]bool, len(homes))
+	var group errgroup.Group
+	for n, home := range homes {
+		if slices.Contains(cancelled, home) {
+			continue
+		}
+		group.Go(func() error {
+			err := s.writeCancellation(ctx, home, id, []store.Condition{{Table: s.jobTable, Key: string(id)}})
+			if errors.Is(err, store.ErrConflict) {
+				found[n] = true
+				return s.writeCancellation(ctx, home, id, nil)
+			}
+			return err
+		})
+	}
+	err = group.Wait()
+	return slices.Contains(found, true), err
+}
+
+// jobRows tells which homes of a job hold which of its rows.
+type jobRows struct {
+	home      string   // holds the job; empty if none does
+	cancelled []string // hold the job's cancellation
+}
+
+// readJobRows reads the rows of a job and its cancellation from the job's homes. It fails
+// if no home that answered holds the job and a home did not answer, since that one may
+// hold it.
+func (s *Store) readJobRows(ctx context.Context, id job.ID) (jobRows, error) {
 	type answer struct {
 		home string
 		rows []store.Row
@@ -211,19 +264,26 @@
 			answers <- answer{home, rows, err}
 		}()
 	}
+	var found jobRows
+	var err error
 	for range homes {
 		a := <-answers
 		if a.err != nil {
 			err = a.err
 		}
-		if len(a.rows) > 0 {
-			home, rows = a.home, append(rows, a.rows...)
+		for _, row := range a.rows {
+			switch row.Key {
+			case string(id):
+				found.home = a.home
+			case cancellationKey(id):
+				found.cancelled = append(found.cancelled, a.home)
+			}
 		}
 	}
-	if len(rows) > 0 {
-		err = nil
+	if found.home != "" {
+		return found, nil
 	}
-	return home, rows, err
+	return found, err
 }
 
 // Remove deletes a job and its cancellation from all homes of the job.
@@ -267,17 +327,14 @@
 			return job.StateRunning, nil
 		}
 	}
-	_, rows, err := s.readJobRows(ctx, id)
+	rows, err := s.readJobRows(ctx, id)
 	switch {
 	case err != nil:
 		return "", err
-	case len(rows) == 0:
+	case rows.home == "":
 		return "", nil
-	}
-	for _, row := range rows {
-		if strings.HasSuffix(row.Key, cancelSuffix) {
-			return job.StateCancelled, nil
-		}
+	case len(rows.cancelled) > 0:
+		return job.StateCancelled, nil
 	}
 	return job.StateQueued, nil
 }
--- a/jobstore/jobstore_test.go
+++ b/jobstore/jobstore_test.go
@@ -227,6 +227,35 @@
 		Expect(jobs.Cancel(ctx, "0000000000000000")).To(BeFalse())
 	})
 
+	// A client whose submission had no answer cancelled the job and heard that there is none.
+	// Then the store carried out the insertion, and the job ran (review/7: UNASKED).
+	It("stores no job whose cancellation found none, in neither of its homes", func() {
+		Expect(jobs.Cancel(ctx, sample.ID)).To(BeFalse())
+		for _, home = range jobs.Homes(sample.ID) {
+			_, err := accept()
+			Expect(err).To(MatchError(jobstore.ErrWithdrawn))
+		}
+		Expect(jobs.ReadState(ctx, sample.ID)).To(BeEmpty())
+		Expect(jobs.Cancel(ctx, sample.ID)).To(BeFalse())
+		Expect(jobs.Remove(ctx, sample.ID)).To(Succeed())
+		Expect(accept()).To(BeTrue(), "the cancellation was removed")
+	})
+
+	It("does not report a job as missing while one of its homes does not answer", func() {
+		homes := jobs.Homes(sample.ID)
+		server.SetUnresponsive(homes[1])
+		short, cancel := context.WithTimeout(ctx, 300*time.Millisecond)
+		defer cancel()
+		_, err := jobs.Cancel(short, sample.ID)
+		Expect(err).To(HaveOccurred())
+		server.SetUnresponsive()
+		// The insertion in the other home is carried out before the client cancels again.
+		home = homes[1]
+		Expect(accept()).To(BeTrue())
+		Expect(jobs.Cancel(ctx, sample.ID)).To(BeTrue())
+		Expect(jobs.ReadState(ctx, sample.ID)).To(Equal(job.StateCancelled))
+	})
+
 	It("loads progress that is divided into several rows", func() {
 		Expect(accept()).To(BeTrue())
 		parts := []dispatch.Progress{
--- a/soak/clients_test.go
+++ b/soak/clients_test.go
@@ -26,6 +26,7 @@
 	visibilityTimeout       = 3 * time.Second  // time after which every instance must know an accepted job
 	completionTimeout       = 45 * time.Second // for all accepted jobs, after the last fault
 	cancelOneIn             = 15               // an accepted job is cancelled with probability 1/cancelOneIn
+	withdrawOneIn           = 2                // a submission of unknown outcome is cancelled with probability 1/withdrawOneIn
 	resubmitOneIn           = 10               // an accepted job is submitted again with probability 1/resubmitOneIn
 	minEstimateMilliseconds = 150              // of a task in the urgent queue
 )
@@ -38,6 +39,7 @@
 	refused            bool      // every attempt was refused with status 429 or 503
 	cancelRequested    bool
 	cancelAcknowledged bool
+	gone               bool // its cancellation was answered with status 410
 	state              string
 	endedAt            time.Time // when the final state was first received
 }
@@ -207,6 +209,10 @@
 			return
 		case status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests:
 			refused = false
+			if r.IntN(withdrawOneIn) == 0 {
+				c.cancelJob(client, r, j)
+				return
+			}
 		}
 		time.Sleep(retryDelay)
 	}
@@ -220,9 +226,10 @@
 	j.cancelRequested = true
 	c.mu.Unlock()
 	for range maxRequestAttempts {
-		if status, _ := c.callRandomInstance(client, r, http.MethodDelete, j.path, nil); status/100 == 2 {
+		status, _ := c.callRandomInstance(client, r, http.MethodDelete, j.path, nil)
+		if status/100 == 2 || status == http.StatusGone {
 			c.mu.Lock()
-			j.cancelAcknowledged = true
+			j.cancelAcknowledged, j.gone = true, status == http.StatusGone
 			c.mu.Unlock()
 			return
 		}
@@ -288,6 +295,10 @@
 		switch {
 		case j.refused && c.cluster.recorder.HasStarted(j.id):
 			c.reportViolation("job %s ran although every attempt to submit it was refused", j.id)
+		case j.gone && !j.acceptedAt.IsZero():
+			c.reportViolation("job %s was accepted, but its cancellation found no job", j.id)
+		case j.gone && c.cluster.recorder.HasStarted(j.id):
+			c.reportViolation("job %s ran although its cancellation found no job", j.id)
 		case j.cancelAcknowledged && len(c.cluster.recorder.RunningTasks(j.id)) > 0:
 			c.reportViolation("job %s still runs after its cancellation was acknowledged", j.id)
 		}
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -109,6 +109,10 @@
 		}
 		return c.applyFaults(cutBothDirections, all...)
 	}},
+	{name: "store silent", inject: func(c *cluster, _ *rand.Rand) func() {
+		c.store.SetSilent(true)
+		return func() { c.store.SetSilent(false) }
+	}},
 	{name: "store partitions unresponsive", inject: func(c *cluster, r *rand.Rand) func() {
 		first := r.IntN(unresponsiveStride)
 		var partitions []string
