dispatch: forget the advice on workers whose state is dropped

Cause: the step's advice pointed to the dropped states of these workers, and the returned ones were too few to justify a call, without a limit in time.

Change: the advice on a worker goes with its state, and few further workers justify a call if no allowed worker accepts runs, or 4 s after the latest answer.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -62,6 +62,8 @@
 	hedgeAt   time.Time      // when the answer to a cheap call becomes overdue
 	retryAt   time.Time
 	widenAt   time.Time // earliest time of the next search for more workers
+	// answeredAt is the time of the latest answer; zero before the first.
+	answeredAt time.Time
 }
 
 // ticket is the permission to run a step on a worker. When it expires, the worker remains
@@ -139,6 +141,29 @@
 	}
 }
 
+// forgetAdviceOn drops the advice on a worker whose state is dropped. If it returns, it is
+// another worker to the reducer, which has to be asked for.
+func (r *Reducer) forgetAdviceOn(w *worker) {
+	for _, jobs := range []map[job.ID]*jobState{r.jobs, r.offers} {
+		for _, j := range jobs {
+			for _, o := range j.occurrences {
+				for _, s := range o.steps {
+					s.advice.forget(w)
+				}
+			}
+		}
+	}
+}
+
+func (a *stepAdvice) forget(w *worker) {
+	if _, asked := a.asked[w]; !asked {
+		return
+	}
+	delete(a.asked, w)
+	a.known = nil
+	a.tickets = slices.DeleteFunc(a.tickets, func(t ticket) bool { return t.worker == w })
+}
+
 // releaseAdvice frees the data that only placement needs: the states of completed jobs are
 // kept for as long as clients may ask for them.
 func (s *stepState) releaseAdvice() {
@@ -357,8 +382,8 @@
 	if !mayWiden && len(list) <= len(s.advice.asked) {
 		return nil
 	}
-	if !firstCall && len(list) < len(s.advice.asked)/widenDivisor && len(s.advice.tickets) > 0 {
-		// A few workers that became available again do not justify a call.
+	if !firstCall && len(list) < len(s.advice.asked)/widenDivisor && s.hasUsableTicket() && r.now.Sub(s.advice.answeredAt) < fewWorkersDelay {
+		// A few workers that became available again do not justify a call at once.
 		return nil
 	}
 	if class != advicelane.Expensive {
@@ -413,8 +438,18 @@
 }
 
 // widenDivisor divides the number of workers already asked for. Fewer further workers than that
-// are not worth another call, unless the step has no ticket yet.
-const widenDivisor = 4
+// are not worth another call before fewWorkersDelay after the last answer, unless no worker that
+// may run the step accepts runs.
+const (
+	widenDivisor    = 4
+	fewWorkersDelay = 4 * time.Second
+)
+
+// hasUsableTicket reports whether a worker that may run the step accepts runs. Its ticket may
+// have expired.
+func (s *stepState) hasUsableTicket() bool {
+	return slices.ContainsFunc(s.advice.tickets, func(t ticket) bool { return t.worker.acceptsRuns && s.isEligible(t.worker) })
+}
 
 // fewAskedDivisor divides the maximum number of workers in a call. A step that has asked for
 // fewer workers than that asks for more without widenDelay.
@@ -475,7 +510,7 @@
 		return
 	}
 	r.recordAdvice(s, nil, c.workers)
-	s.advice.holdUntil = time.Time{}
+	s.advice.holdUntil, s.advice.answeredAt = time.Time{}, r.now
 	if r.callClass(&s.job.queue) == advicelane.Expensive {
 		s.advice.stored = true
 		if s.job.offeredAt.IsZero() {
--- /dev/null
+++ b/dispatch/verdict_test.go
@@ -0,0 +1,68 @@
+package dispatch_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"fuchsiacross/dispatch"
+	"fuchsiacross/job"
+)
+
+// Assessments that keep work off a worker end by time, or by evidence that needs no new runs
+// on that worker.
+var _ = Describe("An assessment of workers ends", func() {
+	state := func(sim *simulation, n int) job.State {
+		s, _ := sim.reducer.Status(id(n))
+		return s
+	}
+
+	// The advice on workers whose state had been dropped was kept when they returned. The step
+	// waited for them for good, beside tickets for workers that no longer existed (review/8:
+	// LOST).
+	It("when the only workers that a step may use return after a crash", func() {
+		sim := newSimulation(14, 16, checks)
+		sim.allows = func(_ job.StepID, w job.WorkerID) bool { return w < "w02" }
+		sim.advance(200 * time.Millisecond)
+		sim.submit(newJob(1, "checks", job.Step{Tasks: 2, Demand: demand(2, 2), EstimateMilliseconds: 4000}))
+		sim.advance(2 * time.Second)
+		Expect(state(sim, 1)).To(Equal(job.StateRunning))
+		lost := []*fakeWorker{sim.workers["w00"], sim.workers["w01"]}
+		for _, w := range lost {
+			w.unreachable = true
+		}
+		sim.advance(4500 * time.Millisecond)
+		for _, w := range lost {
+			sim.apply(dispatch.WorkerUnlisted{ID: w.worker.ID})
+		}
+		sim.advance(600 * time.Millisecond)
+		for _, w := range lost {
+			w.restart(sim.now)
+			sim.apply(dispatch.WorkerListed{Worker: w.worker})
+		}
+		sim.advance(6 * time.Second)
+		Expect(state(sim, 1)).To(Equal(job.StateCompleted))
+		Expect(sim.violations).To(BeEmpty())
+	})
+
+	// A step with a ticket for a worker without room did not ask for the few others that had
+	// become available.
+	It("when few further workers are available beside a full one that a step may use", func() {
+		sim := newSimulation(14, 16, checks, plain)
+		sim.allows = func(_ job.StepID, w job.WorkerID) bool { return w == "w00" || w == "w13" }
+		sim.workers["w13"].unregistered = true
+		sim.apply(dispatch.WorkerUnlisted{ID: "w13"})
+		sim.advance(200 * time.Millisecond)
+		// The only allowed worker is busy for a long time.
+		sim.submit(newJob(1, "checks", job.Step{Tasks: 1, Demand: demand(16, 2), EstimateMilliseconds: 60_000}))
+		sim.advance(time.Second)
+		sim.submit(newJob(2, "checks", job.Step{Tasks: 1, Demand: demand(16, 2), EstimateMilliseconds: 500}))
+		sim.advance(time.Second)
+		Expect(state(sim, 2)).To(Equal(job.StateQueued))
+		sim.workers["w13"].unregistered = false
+		sim.apply(dispatch.WorkerListed{Worker: sim.workers["w13"].worker})
+		sim.advance(7 * time.Second)
+		Expect(state(sim, 2)).To(Equal(job.StateCompleted))
+	})
+})
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -136,6 +136,7 @@
 		return
 	}
 	r.usedTokens[w.registration.ID]++ // it may return as another incarnation
+	r.forgetAdviceOn(w)
 	delete(r.workers, w.registration.ID)
 	delete(r.enrolling, w)
 	w.acceptsRuns = false
