dispatch: a slow worker gets tasks again without being empty

Cause: the verdict could change only with new runs there, and these were allowed only on an empty worker. One with a task that lasts is never empty.

Change: only runs whose pace tells something keep tasks away after the pause, and none does 10 s after the latest sign of slowness.

--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -37,8 +37,11 @@
 	stalledRatio = 20.0
 	// maxRecentJobs is the number of recent jobs that count as evidence.
 	maxRecentJobs = 6
-	// slowPause is how long a slow worker gets no new tasks.
-	slowPause = 2500 * time.Millisecond
+	// slowPause is how long a slow worker gets no new tasks. After that it gets some once no run
+	// is left whose pace shows whether it is still slow, or slowVerdictDuration after such a run
+	// last showed that it was.
+	slowPause           = 2500 * time.Millisecond
+	slowVerdictDuration = 10 * time.Second
 	// minProgressInterval is the shortest time over which progress is measured.
 	minProgressInterval = 200 * time.Millisecond
 	// Progress is measured only over a time in which minExpectedPercent is expected, because
@@ -64,6 +67,7 @@
 	slowdown           float64   // how many times longer than expected runs take; zero before the first run
 	slow               bool      // runs take much longer than expected, with enough evidence
 	slowUntil          time.Time // until when a slow worker gets no new tasks
+	slowExpires        time.Time // until when it gets none beside runs whose pace is observed
 }
 
 // evidence is the pace of one job's runs on a worker: the logarithm of their time relative to
@@ -74,6 +78,22 @@
 	weight   int
 }
 
+// isClosedAsSlow reports whether a worker gets no new tasks because it is slow.
+func (w *worker) isClosedAsSlow(now time.Time) bool {
+	h := &w.health
+	return h.slow && (now.Before(h.slowUntil) || w.hasComparableRuns() && now.Before(h.slowExpires))
+}
+
+// hasComparableRuns reports whether the pace of any run on a worker shows whether it is slow.
+func (w *worker) hasComparableRuns() bool {
+	for _, run := range w.runs {
+		if run.step.hasComparablePace() {
+			return true
+		}
+	}
+	return false
+}
+
 func (h *health) pause(until time.Time) {
 	if until.After(h.pausedUntil) {
 		h.pausedUntil = until
@@ -82,7 +102,7 @@
 
 // addEvidence records the pace of a job's runs relative to the pace of its step on other
 // workers. The latest observation of a job replaces earlier ones.
-func (h *health) addEvidence(s *stepState, w *worker, logRatio float64) {
+func (h *health) addEvidence(now time.Time, s *stepState, w *worker, logRatio float64) {
 	expected, others := s.paceOnOthers(w)
 	id := s.id.Job
 	h.recent = slices.DeleteFunc(h.recent, func(e evidence) bool { return e.job == id })
@@ -90,7 +110,9 @@
 	if len(h.recent) > maxRecentJobs {
 		h.recent = slices.Delete(h.recent, 0, 1)
 	}
-	h.updateSlowdown()
+	if h.updateSlowdown(); h.slow {
+		h.slowExpires = now.Add(slowVerdictDuration)
+	}
 }
 
 // updateSlowdown sets the slowdown to the weighted median of the evidence.
@@ -255,7 +277,7 @@
 		return
 	}
 	logRatio := math.Log(float64(max(time.Millisecond, r.now.Sub(run.orderedAt))) / float64(s.expectedLength()))
-	w.health.addEvidence(s, w, logRatio)
+	w.health.addEvidence(r.now, s, w, logRatio)
 	s.observePace(w, logRatio)
 }
 
@@ -302,7 +324,7 @@
 		return
 	}
 	logRatio := math.Log(min(stalledRatio, expected/max(gained, expected/stalledRatio)))
-	w.health.addEvidence(s, w, logRatio)
+	w.health.addEvidence(r.now, s, w, logRatio)
 	s.observePace(w, logRatio)
 	if w.health.slow {
 		w.health.slowUntil = r.now.Add(slowPause)
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -217,7 +217,7 @@
 func (r *Reducer) acceptsRuns(w *worker) bool {
 	return w.registered && w.enrolled && len(w.orphans) == 0 && !w.registration.Leaving && w.wasRead && !w.unreachable &&
 		!r.now.Before(w.health.pausedUntil) &&
-		(!w.health.slow || len(w.runs) == 0 && !r.now.Before(w.health.slowUntil)) &&
+		!w.isClosedAsSlow(r.now) &&
 		(w.health.failures < pauseThreshold || len(w.runs) == 0)
 }
 
--- a/dispatch/verdict_test.go
+++ b/dispatch/verdict_test.go
@@ -46,6 +46,55 @@
 		Expect(sim.violations).To(BeEmpty())
 	})
 
+	// A slow worker got tasks again only once it was empty, and only these could show that it had
+	// recovered. A worker with a service is never empty (review/9: LOST).
+	It("when a worker that was slow runs nothing but a service", func() {
+		sim := newSimulation(6, 16, plain)
+		rare := sim.workers["w00"]
+		rare.worker.Labels = []string{"rare"}
+		sim.apply(dispatch.WorkerListed{Worker: rare.worker})
+		sim.advance(200 * time.Millisecond)
+		sim.submit(newJob(1, "plain", job.Step{Tasks: 6, MaxPerWorker: 1, LongRunning: true, Demand: demand(3, 2)}))
+		sim.advance(time.Second)
+		short := job.Step{Tasks: 6, MaxPerWorker: 1, Demand: demand(1, 1), EstimateMilliseconds: 1000}
+		for n := range 18 {
+			rare.slowdown = 6.5
+			sim.submit(newJob(100+n, "plain", short))
+			sim.advance(400 * time.Millisecond)
+		}
+		Expect(sim.noteCounts[dispatch.NoteWorkerHealthChanged]).To(Equal(1))
+		rare.slowdown = 1
+		sim.advance(7 * time.Second)
+		required := job.Step{Tasks: 2, RequiredLabel: "rare", Demand: demand(1, 1), EstimateMilliseconds: 1000}
+		sim.submit(newJob(2, "plain", required))
+		sim.advance(3 * time.Second)
+		Expect(state(sim, 2)).To(Equal(job.StateCompleted))
+		Expect(sim.violations).To(BeEmpty())
+	})
+
+	// One long run is left on the worker, which shows nothing for a long time.
+	It("when a worker that was slow has one long run left", func() {
+		sim := newSimulation(6, 16, plain)
+		rare := sim.workers["w00"]
+		rare.worker.Labels = []string{"rare"}
+		sim.apply(dispatch.WorkerListed{Worker: rare.worker})
+		sim.advance(200 * time.Millisecond)
+		sim.submit(newJob(1, "plain", job.Step{Tasks: 1, RequiredLabel: "rare", Demand: demand(3, 2), EstimateMilliseconds: 600_000}))
+		sim.advance(time.Second)
+		short := job.Step{Tasks: 6, MaxPerWorker: 1, Demand: demand(1, 1), EstimateMilliseconds: 1000}
+		for n := range 18 {
+			rare.slowdown = 6.5
+			sim.submit(newJob(100+n, "plain", short))
+			sim.advance(400 * time.Millisecond)
+		}
+		rare.slowdown = 1
+		sim.advance(20 * time.Second)
+		sim.submit(newJob(2, "plain", job.Step{Tasks: 2, RequiredLabel: "rare", Demand: demand(1, 1), EstimateMilliseconds: 1000}))
+		sim.advance(3 * time.Second)
+		Expect(state(sim, 2)).To(Equal(job.StateCompleted))
+		Expect(sim.violations).To(BeEmpty())
+	})
+
 	// A step with a ticket for a worker without room did not ask for the few others that had
 	// become available.
 	It("when few further workers are available beside a full one that a step may use", func() {
