dispatch: failures close a worker for a limited time

Cause: three failures in a row closed a worker until it was empty or a run ended done. Tasks that last never end done and keep it from being empty.

Change: their failures count only soon after the start, and the closing ends by time.

--- a/dispatch/end.go
+++ b/dispatch/end.go
@@ -11,7 +11,7 @@
 func (r *Reducer) handleEnd(w *worker, end job.EndedRun) {
 	known := w.runs[runKey{end.Task, end.Run}]
 	if known != nil {
-		w.health.observeEnd(r.now, end.Task.Job, end.Kind)
+		w.health.observeEnd(r.now, known, end.Kind)
 		if end.Kind == job.EndDone {
 			r.observeRunLength(known)
 			known.step.observeLength(r.now, known)
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -18,7 +18,10 @@
 	// suspectDuration is how long a worker stays suspect after its last failure, or after the
 	// pause that follows it. Meanwhile, tasks with more attempts show whether runs still fail
 	// on it.
-	suspectDuration   = 2500 * time.Millisecond
+	suspectDuration = 2500 * time.Millisecond
+	// serviceProbation is how long a task that lasts has to have run for its failure to say
+	// nothing about its worker: such tasks may fail at any time.
+	serviceProbation  = 3 * time.Second
 	failurePause      = 1500 * time.Millisecond // doubles with each further failure, maxPauseDoublings times at most
 	maxPauseDoublings = 2
 
@@ -153,8 +156,30 @@
 	return h.failures >= suspectThreshold && now.Before(h.suspectUntil)
 }
 
+// isClosedAsFailing reports whether a worker gets no new tasks because jobs fail on it. After a
+// pause it gets some once no run is left whose end shows whether they still do, or when it
+// is no longer suspect.
+func (w *worker) isClosedAsFailing(now time.Time) bool {
+	h := &w.health
+	return now.Before(h.pausedUntil) || h.failures >= pauseThreshold && w.hasEndingRuns() && now.Before(h.suspectUntil)
+}
+
+// hasEndingRuns reports whether a worker has a run that ends by itself.
+func (w *worker) hasEndingRuns() bool {
+	for _, run := range w.runs {
+		if !run.step.step.LongRunning {
+			return true
+		}
+	}
+	return false
+}
+
 // observeEnd counts the end of a run. Consecutive failures of the same job count once.
-func (h *health) observeEnd(now time.Time, id job.ID, kind job.EndKind) {
+func (h *health) observeEnd(now time.Time, run *run, kind job.EndKind) {
+	if run.step.step.LongRunning && kind == job.EndFailed && now.Sub(run.orderedAt) >= serviceProbation {
+		kind = job.EndDone // it has worked here
+	}
+	id := run.task.Job
 	switch kind {
 	case job.EndFailed:
 		if h.failedJob == id {
--- a/dispatch/verdict_test.go
+++ b/dispatch/verdict_test.go
@@ -72,6 +72,52 @@
 		Expect(sim.violations).To(BeEmpty())
 	})
 
+	// Failures of different jobs in a row closed a worker until it was empty or a run ended done.
+	// Tasks that last never do (review/4: LOST).
+	It("when tasks that last fail now and then", func() {
+		sim := newSimulation(4, 32, plain)
+		sim.advance(200 * time.Millisecond)
+		sim.outcome = func(job.TaskID, int64) job.EndKind { return job.EndFailed }
+		sim.taskLength = func(t job.TaskID) time.Duration {
+			return time.Duration(6+sim.random.IntN(20)) * time.Second
+		}
+		const jobs, tasks = 8, 5
+		for n := range jobs {
+			sim.submit(newJob(n, "plain", job.Step{Tasks: tasks, LongRunning: true, Demand: demand(1, 1)}))
+		}
+		sim.advance(90 * time.Second)
+		for range 20 {
+			sim.advance(time.Second)
+			running := 0
+			for _, w := range sim.workers {
+				running += len(w.running)
+			}
+			Expect(running).To(BeNumerically(">=", jobs*tasks*9/10))
+		}
+		Expect(sim.violations).To(BeEmpty())
+	})
+
+	// The last of three failures closed a worker until its other run had ended.
+	It("when jobs have failed on a worker that has one long run left", func() {
+		sim := newSimulation(1, 16, plain)
+		sim.advance(200 * time.Millisecond)
+		sim.outcome = func(t job.TaskID, _ int64) job.EndKind {
+			if t.Job < id(10) {
+				return job.EndFailed
+			}
+			return job.EndDone
+		}
+		sim.submit(newJob(20, "plain", job.Step{Tasks: 1, Demand: demand(1, 1), EstimateMilliseconds: 600_000}))
+		for n := range 3 {
+			sim.submit(newJob(n, "plain", job.Step{Tasks: 1, Demand: demand(1, 1), EstimateMilliseconds: 100}))
+			sim.advance(300 * time.Millisecond)
+		}
+		sim.advance(8 * time.Second)
+		sim.submit(newJob(21, "plain", job.Step{Tasks: 1, Demand: demand(1, 1), EstimateMilliseconds: 500}))
+		sim.advance(2 * time.Second)
+		Expect(state(sim, 21)).To(Equal(job.StateCompleted))
+	})
+
 	// One long run is left on the worker, which shows nothing for a long time.
 	It("when a worker that was slow has one long run left", func() {
 		sim := newSimulation(6, 16, plain)
