dispatch: a task leaves its step's rack if that has no capacity

Cause: the rack of the other tasks counted as large enough without any capacity.

Change: only capacity counts, and the wait for one rack is limited.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -131,6 +131,7 @@
 	endedRuns         int           // number of these runs
 	moveCount         int           // how often runs were moved off slow workers
 	lengths           lengths
+	rackBlockedSince  time.Time // from when on no rack has had capacity for its tasks; zero before
 }
 
 // recordCheckpoint stores the checkpoint of a run. The checkpoint of any member is valid for
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -283,8 +283,7 @@
 	if s.step.Gang && total < missing {
 		return nil
 	}
-	if s.step.SameRack && !p.keepOneRack(s, missing) && p.now.Sub(s.openedAt) < s.expectedLength() {
-		// Tasks on several racks take several times as long.
+	if s.step.SameRack && !p.keepOneRack(s, missing) {
 		return nil
 	}
 	if s.step.Gang {
@@ -335,30 +334,6 @@
 	return n
 }
 
-// keepOneRack keeps only the places of one rack, if a rack has capacity for all tasks.
-func (p *pass) keepOneRack(s *stepState, missing int) bool {
-	racks := map[string]int{}
-	for i := range s.tasks {
-		if r := s.tasks[i].run; r != nil {
-			racks[r.worker.registration.Rack] += len(s.tasks) // the remaining tasks follow the running ones
-		}
-	}
-	for i := range p.places {
-		racks[p.places[i].worker.registration.Rack] += s.taskCapacity(&p.places[i])
-	}
-	best := ""
-	for rack, n := range racks {
-		if n >= missing && (best == "" || n < racks[best] || n == racks[best] && rack < best) {
-			best = rack
-		}
-	}
-	if best == "" {
-		return false
-	}
-	p.places = slices.DeleteFunc(p.places, func(l place) bool { return l.worker.registration.Rack != best })
-	return true
-}
-
 // keepValidTickets keeps only the places with valid tickets if they have capacity for all tasks.
 // The most even places change with each task that ends elsewhere. If a gang chose these, it would
 // need other tickets each time that the ones it had asked for arrive.
--- a/dispatch/verdict_test.go
+++ b/dispatch/verdict_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -118,6 +119,31 @@
 		Expect(state(sim, 21)).To(Equal(job.StateCompleted))
 	})
 
+	// The rack of the task that was left had the most claim and no capacity (review/10: LOST).
+	It("when the rack of a service has no capacity for a lost task", func() {
+		sim := newSimulation(7, 16, plain)
+		for n, rack := range []string{"a", "a", "b", "b", "b", "b", "b"} {
+			w := sim.workers[job.WorkerID(fmt.Sprintf("w%02d", n))]
+			w.worker.Rack = rack
+			sim.apply(dispatch.WorkerListed{Worker: w.worker})
+		}
+		sim.advance(200 * time.Millisecond)
+		sim.submit(newJob(1, "plain", job.Step{Tasks: 2, SameRack: true, LongRunning: true, Demand: demand(10, 2)}))
+		sim.advance(2 * time.Second)
+		Expect(sim.workers["w00"].running).To(HaveLen(1))
+		Expect(sim.workers["w01"].running).To(HaveLen(1))
+		sim.workers["w01"].unreachable = true
+		sim.advance(8 * time.Second)
+		running := 0
+		for _, w := range sim.workers {
+			if !w.unreachable {
+				running += len(w.running)
+			}
+		}
+		Expect(running).To(Equal(2))
+		Expect(sim.violations).To(BeEmpty())
+	})
+
 	// One long run is left on the worker, which shows nothing for a long time.
 	It("when a worker that was slow has one long run left", func() {
 		sim := newSimulation(6, 16, plain)
