dispatch: repeat an answered stop if its run is still listed

Cause: a worker that restarts forgets a stop that it has answered, and may then execute the start that the stop was for. The run went on, also for a cancelled job.

Change: the stop is repeated once the run is listed for longer than a stop takes.

--- a/dispatch/formerleader_random_test.go
+++ b/dispatch/formerleader_random_test.go
@@ -327,6 +327,15 @@
 	})
 }
 
+// The same with starts without tickets, under one leader.
+func TestRandomFaultsWithStartsAcrossIncarnations(t *testing.T) {
+	playRandomFaults(t, func(seed uint64) *formerLeaderFaults {
+		f := newFormerLeaderFaults(seed, plain)
+		f.crossOrders, f.losesCrossingStarts, f.keepLeader = true, false, true
+		return f
+	})
+}
+
 func playRandomFaults(t *testing.T, newFaults func(seed uint64) *formerLeaderFaults) {
 	const seeds, jobs = 120, 24
 	for seed := range uint64(seeds) {
--- a/dispatch/transit_test.go
+++ b/dispatch/transit_test.go
@@ -150,6 +150,24 @@
 		})
 	}
 
+	// A stop that was answered by the former incarnation was not repeated when the run appeared
+	// in the next one.
+	It("do not start a task that was cancelled for long", func() {
+		sim := newSimulation(1, 16, plain)
+		sim.advance(200 * time.Millisecond)
+		sim.started = func(dispatch.StartRun) (bool, time.Duration) { return false, 3 * time.Second }
+		sim.submit(newJob(1, "plain", job.Step{Tasks: 1, Demand: demand(4, 4), EstimateMilliseconds: 60_000}))
+		sim.advance(500 * time.Millisecond)
+		sim.apply(dispatch.CancelAccepted{ID: id(1)})
+		w := sim.workers["w00"]
+		sim.advance(2300 * time.Millisecond)
+		w.restart(sim.now)
+		sim.advance(300 * time.Millisecond)
+		Expect(w.running).To(HaveLen(1))
+		sim.advance(3 * time.Second)
+		Expect(len(w.running)).To(BeZero())
+	})
+
 	// A gang with a member in transit would wait for it in vain.
 	It("delay a gang, none of whose other members is left alone", func() {
 		sim := newSimulation(3, 16, plain)
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -396,6 +396,10 @@
 		if known.presentSince.IsZero() {
 			known.presentSince = r.now
 		}
+		if r.hasSurvivedStop(known) {
+			known.stopAnsweredAt = time.Time{}
+			r.sendStop(known)
+		}
 		known.tailMilliseconds = running.TailMillisecondsOrMilliCPU
 		r.observeProgress(known, running.Percent)
 		if running.Checkpoint != "" {
@@ -480,6 +484,13 @@
 	r.effects.Stops = append(r.effects.Stops, StopRun{Worker: run.worker.registration, Token: r.fence(run.worker), Task: run.task, Run: run.number})
 }
 
+// hasSurvivedStop reports whether a run that is listed should have ended by now. Its start may
+// have been executed by an incarnation of the worker that does not know the stop.
+func (r *Reducer) hasSurvivedStop(run *run) bool {
+	stopTime := time.Duration(r.stopTimeoutMilliseconds)*time.Millisecond + stopRetryInterval
+	return !run.stopAnsweredAt.IsZero() && r.now.Sub(run.stopAnsweredAt) > stopTime
+}
+
 // stopIncompleteGangs stops the gangs that wait for a member on a worker that does not answer.
 // The member can be replaced only after the worker's lease has expired.
 func (r *Reducer) stopIncompleteGangs(w *worker) {
