dispatch: fillers at a standstill are tried again

Cause: fillers that a burst of a service had stopped stood still for good if the usual tail of the service lies between the two thresholds.

Measured: the spec 'work again after a burst of a service that is somewhat below its target' fails before the change.

--- a/dispatch/filler.go
+++ b/dispatch/filler.go
@@ -22,6 +22,10 @@
 	// one.
 	fillerRaisePercent  = 10
 	fillerRaiseInterval = time.Second
+	// fillerProbeInterval is how long fillers stand still beside a service whose tail is between
+	// the thresholds by itself. They then work for fillerRaisePercent of the time, and stop again
+	// if that disturbs it.
+	fillerProbeInterval = 5 * time.Second
 	fullPercent         = 100
 	// paceUnknown is the pace of a run that a predecessor started.
 	paceUnknown = -1
@@ -75,6 +79,8 @@
 		if percent /= fillerCutDivisor; percent < minFillerPercent {
 			percent = 0
 		}
+	case percent == 0 && r.now.Sub(f.changedAt) >= fillerProbeInterval:
+		percent = fillerRaisePercent
 	case tail < lowTailThreshold && r.now.Sub(f.changedAt) >= fillerRaiseInterval:
 		percent = min(fullPercent, percent+fillerRaisePercent)
 	}
--- a/dispatch/filler_test.go
+++ b/dispatch/filler_test.go
@@ -65,6 +65,7 @@
 		{"work beside a service that is well below its target", 30, 5, 3, 3},
 		{"are slowed beside a service that they disturb", 30, 100, 0.1, 0.7},
 		{"stop beside a service that is over its target by itself", 120, 1, 0, 0},
+		{"work beside a service that is somewhat below its target by itself", 70, 5, 0.3, 3},
 	}
 	for _, test := range tests {
 		It(test.name, func() {
@@ -78,6 +79,20 @@
 		})
 	}
 
+	// They stood still for good once a burst of the service had stopped them, if its usual tail
+	// lies between the thresholds.
+	It("work again after a burst of a service that is somewhat below its target", func() {
+		sim, longest := newSharedWorker(70, 5)
+		usual := sim.serviceTail
+		sim.serviceTail = func(w *fakeWorker) float64 { return 60 + usual(w) }
+		sim.advance(4 * time.Second)
+		Expect(fillerTime(sim.workers["w00"])).To(BeZero())
+		sim.serviceTail = usual
+		sim.advance(8 * time.Second)
+		Expect(fillerTime(sim.workers["w00"])).To(BeNumerically(">=", 0.3))
+		Expect(longest()).To(BeNumerically("<", limit))
+	})
+
 	It("are slowed again by a new leader", func() {
 		sim, longest := newSharedWorker(30, 100)
 		sim.advance(8 * time.Second)
