soak, platform/standin: late orders, restarts behind a cut, limited policies

The soak plays this, restarts runners that are cut off soon after, loses two runners until their registrations are removed, limits the policy of every fourth job to two runners, and has tasks that are longer than a lease.

--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -66,7 +66,7 @@
 		recorder: standin.NewRecorder(func(string) time.Duration { return runDuration }),
 	}
 	DeferCleanup(s.store.Close)
-	advice := standin.NewAdviceServer()
+	advice := standin.NewAdviceServer(s.recorder, nil)
 	DeferCleanup(advice.Close)
 	s.putConfiguration(1, "/p/")
 	for n := range runners {
--- a/soak/clients_test.go
+++ b/soak/clients_test.go
@@ -29,6 +29,10 @@
 	withdrawOneIn           = 2                // a submission of unknown outcome is cancelled with probability 1/withdrawOneIn
 	resubmitOneIn           = 10               // an accepted job is submitted again with probability 1/resubmitOneIn
 	minEstimateMilliseconds = 150              // of a task in the urgent queue
+	maxLimitedTasks         = 3                // of a step that few runners may run
+	longOneIn               = 3                // a job of the batch queue has a long task with probability 1/longOneIn
+	// longEstimateMilliseconds exceeds the leases that leaders grant.
+	longEstimateMilliseconds = 8000
 )
 
 // submission is a job and the responses that its client received.
@@ -162,6 +166,12 @@
 			steps = append(steps, step{Count: 1 + r.IntN(4), CPU: 1000 + r.IntN(4000), MemMB: 256, Estimate: 300 + r.IntN(600), After: []int{0}})
 		}
 	}
+	if limited, _ := isLimited(id); limited {
+		steps[0].Count = min(steps[0].Count, maxLimitedTasks)
+	}
+	if path == "/b/" && r.IntN(longOneIn) == 0 {
+		steps[0].Count, steps[0].Gang, steps[0].Estimate = 1, false, longEstimateMilliseconds
+	}
 	var declared []standin.Step
 	for _, s := range steps {
 		failedRuns := 0
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -65,7 +66,7 @@
 		store: standin.NewStore(), recorder: standin.NewRecorder(nil), splitLinks: map[*linkstandin.Link]bool{},
 	}
 	DeferCleanup(c.store.Close)
-	advice := standin.NewAdviceServer()
+	advice := standin.NewAdviceServer(c.recorder, allowsStep)
 	DeferCleanup(advice.Close)
 	c.writeConfiguration()
 	c.storeShardMap()
@@ -99,6 +100,25 @@
 	return c
 }
 
+// allowedTogether is the number of runners that may run a step whose policy is limited. They
+// are in different racks, so that one of them is in each shard.
+const allowedTogether = rackCount
+
+// isLimited reports whether only a few runners may run the steps of a job. The last digits of
+// a job's id are its number.
+func isLimited(id string) (limited bool, number int) {
+	n, err := strconv.ParseUint(id[len(id)-2:], 16, 8)
+	return err == nil && n%4 == 0, int(n / 4)
+}
+
+// allowsStep is the policy of the advice service.
+func allowsStep(step, runner string) bool {
+	id, _, _ := strings.Cut(step, ".")
+	limited, number := isLimited(id)
+	n, err := strconv.Atoi(strings.TrimPrefix(runner, "w"))
+	return err == nil && (!limited || n/allowedTogether == number%(runnerCount/allowedTogether))
+}
+
 // register writes the registration of the runner in a state to the store.
 func (r linkedRunner) register(s *standin.Store, state string) {
 	r.runner.Register(s, poolName, r.registeredAddress, runnerMilliCPU, state)
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -19,7 +19,14 @@
 	maxFaultDuration    = 4 * time.Second
 	minSplitDuration    = 6 * time.Second // exceeds the leases and the confirmation of a former leader
 	maxSplitDuration    = 9 * time.Second
-	maxRunnersBeside    = 2                      // of a leader that is split off
+	maxRunnersBeside    = 2                // of a leader that is split off
+	minRestartDuration  = 4 * time.Second  // of a runner that is cut off after its restart
+	maxRestartDuration  = 10 * time.Second // exceeds the leases that leaders grant
+	maxContactTime      = 2 * time.Second  // between a restart and the cut
+	minLossDuration     = 4800 * time.Millisecond
+	maxLossDuration     = 6 * time.Second
+	registrationTimeout = 4500 * time.Millisecond // of a lost runner
+	lateOrderShare      = 0.3
 	storeDelay          = 250 * time.Millisecond // of each response of a slow store
 	storePartitionCount = 64
 	unresponsiveStride  = 3 // every third partition of the store is unresponsive
@@ -172,6 +179,47 @@
 			target.register(c.store, "ready")
 		}
 	}},
+	// Orders that are meant for the former incarnation reach the one that is cut off.
+	{name: "runner restarted and cut off", minDuration: minRestartDuration, maxDuration: maxRestartDuration, inject: func(c *cluster, r *rand.Rand) func() {
+		target := pickRandom(r, c.runners)
+		target.runner.Restart()
+		resetConnections(target.byCaller...)
+		time.Sleep(time.Duration(r.Int64N(int64(maxContactTime))))
+		return c.applyFaults(cutBothDirections, target.byCaller...)
+	}},
+	// The registrations are removed, and a step that only these runners may run has to wait.
+	{name: "two runners lost for a while", minDuration: minLossDuration, maxDuration: maxLossDuration, inject: func(c *cluster, r *rand.Rand) func() {
+		first := allowedTogether * r.IntN(runnerCount/allowedTogether)
+		lost := c.runners[first:][:allowedTogether]
+		var restores []func()
+		for _, target := range lost {
+			restores = append(restores, c.applyFaults(cutBothDirections, target.byCaller...))
+			target.runner.Restart()
+		}
+		removal := time.AfterFunc(registrationTimeout, func() {
+			for _, target := range lost {
+				c.store.Delete("servers", target.runner.ID)
+			}
+		})
+		return func() {
+			removal.Stop()
+			for n, target := range lost {
+				resetConnections(target.byCaller...)
+				restores[n]()
+				target.register(c.store, "ready")
+			}
+		}
+	}},
+	{name: "orders late", inject: func(c *cluster, r *rand.Rand) func() {
+		for _, target := range c.runners {
+			target.runner.SetLateShare(lateOrderShare * float64(r.IntN(2)))
+		}
+		return func() {
+			for _, target := range c.runners {
+				target.runner.SetLateShare(0)
+			}
+		}
+	}},
 	{name: "runner draining", inject: func(c *cluster, r *rand.Rand) func() {
 		target := pickRandom(r, c.runners)
 		target.register(c.store, "draining")
