jobstore: a job that is submitted after its cancellation is stored as cancelled

A submission after a cancellation that was answered 410 got 503 since, and the spec 'reports cancelled and unknown jobs as such' of package instance failed (it submits the job, cancels it and expects to see it as cancelled). It is accepted again, beside the stored cancellation, and never starts.

--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -156,12 +156,11 @@
 	return h.failures >= suspectThreshold && now.Before(h.suspectUntil)
 }
 
-// isClosedAsFailing reports whether a worker gets no new tasks because jobs fail on it. After a
-// pause it gets some once no run is left whose end shows whether they still do, or when it
-// is no longer suspect.
+// isClosedAsFailing reports whether a worker gets no new tasks after a pause because jobs failed
+// on it: it has a run whose end will show whether they still do, and is suspect.
 func (w *worker) isClosedAsFailing(now time.Time) bool {
 	h := &w.health
-	return now.Before(h.pausedUntil) || h.failures >= pauseThreshold && w.hasEndingRuns() && now.Before(h.suspectUntil)
+	return h.failures >= pauseThreshold && w.hasEndingRuns() && now.Before(h.suspectUntil)
 }
 
 // hasEndingRuns reports whether a worker has a run that ends by itself.
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -216,7 +216,7 @@
 // acceptsRuns reports whether a worker can get new runs at all.
 func (r *Reducer) acceptsRuns(w *worker) bool {
 	return w.registered && r.isEnrolled(w) && len(w.orphans) == 0 && !w.registration.Leaving && w.wasRead && !w.unreachable &&
-		!w.isClosedAsSlow(r.now) && !w.isClosedAsFailing(r.now)
+		!r.now.Before(w.health.pausedUntil) && !w.isClosedAsSlow(r.now) && !w.isClosedAsFailing(r.now)
 }
 
 // fewAttempts is the number of attempts up to which a step avoids suspect workers: a single
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -10,29 +10,29 @@
 
 // worker is the leader's view of a worker and its runs.
 type worker struct {
-	registration   job.Worker
-	registered     bool  // its registration exists
-	enrolled       bool  // its enrolment is stored
-	enrolledLife   int64 // start time of the incarnation that it is enrolled with
-	enrolledStray  bool  // Enrolment.StrayLease of its enrolment
-	inherited      bool  // enrolled by a predecessor, which may have started runs here
-	used           model.Resources
-	runs           map[runKey]*run
-	startTime      int64
-	incarnationAt  time.Time    // when its incarnation was first read; zero before
-	clock          int64        // latest reading of its clock, in milliseconds
-	clockAt        time.Time    // when that reading arrived; zero before the first
-	wasRead        bool         // with this leader's token
-	fencedLife     int64        // start time of the incarnation that has answered with the current token
-	listedAt       time.Time    // when a reading first listed all its runs, active and ended; zero before
-	moreEnds       bool         // the last reading left ends out
-	unknownEnds    []unknownEnd // of jobs that are not known, in the last reading
-	leaseEnd       time.Time    // until when its runs may continue, by the leader's clock
-	strayLeaseEnd  time.Time    // until when orders for earlier incarnations may have extended it
-	health         health
-	pace           pace
-	fillerThrottle fillerThrottle
-	orphans        map[runKey]orphanRun
+	registration      job.Worker
+	registered        bool  // its registration exists
+	enrolled          bool  // its enrolment is stored
+	enrolledStartTime int64 // start time of the incarnation that it is enrolled with
+	enrolledStray     bool  // Enrolment.StrayLease of its enrolment
+	inherited         bool  // enrolled by a predecessor, which may have started runs here
+	used              model.Resources
+	runs              map[runKey]*run
+	startTime         int64
+	incarnationAt     time.Time    // when its incarnation was first read; zero before
+	clock             int64        // latest reading of its clock, in milliseconds
+	clockAt           time.Time    // when that reading arrived; zero before the first
+	wasRead           bool         // with this leader's token
+	fencedStartTime   int64        // start time of the incarnation that has answered with the current token
+	listedAt          time.Time    // when a reading first listed all its runs, active and ended; zero before
+	moreEnds          bool         // the last reading left ends out
+	unknownEnds       []unknownEnd // of jobs that are not known, in the last reading
+	leaseEnd          time.Time    // until when its runs may continue, by the leader's clock
+	strayLeaseEnd     time.Time    // until when orders for earlier incarnations may have extended it
+	health            health
+	pace              pace
+	fillerThrottle    fillerThrottle
+	orphans           map[runKey]orphanRun
 
 	processedEnd int64     // ends up to this number are applied to the jobs
 	savedEnd     int64     // ends up to this number are saved
@@ -133,7 +133,7 @@
 		return
 	}
 	if w.enrolled {
-		w.enrolled, w.inherited, w.enrolledLife = false, false, 0
+		w.enrolled, w.inherited, w.enrolledStartTime = false, false, 0
 		r.unenrolling = append(r.unenrolling, w.registration.ID)
 	}
 	if w.registered {
@@ -513,7 +513,7 @@
 // checkWorker moves runs off a slow or leaving worker, repeats unanswered stop orders, gives up
 // the runs of an unreachable worker whose lease has expired, and corrects its enrolment.
 func (r *Reducer) checkWorker(w *worker) {
-	if w.enrolled && w.enrolledStray && !r.hasStrayLease(w) && w.fencedLife != 0 {
+	if w.enrolled && w.enrolledStray && !r.hasStrayLease(w) && w.fencedStartTime != 0 {
 		r.enrolling[w] = struct{}{}
 	}
 	if !w.unreachable && r.isAuthorised() {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -29,7 +29,6 @@
 	"go.uber.org/zap"
 
 	"fuchsiacross/job"
-	"fuchsiacross/jobstore"
 	"fuchsiacross/link"
 	"fuchsiacross/logevent"
 	"fuchsiacross/platform/advice"
@@ -232,7 +231,7 @@
 	if i.ctx.Err() != nil || errors.Is(err, context.Canceled) {
 		return
 	}
-	answered := err == nil || errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrHistoryGone) || errors.Is(err, store.ErrInvalid) || errors.Is(err, jobstore.ErrWithdrawn)
+	answered := err == nil || errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrHistoryGone) || errors.Is(err, store.ErrInvalid)
 	if !i.storeHealth.Observe(time.Now(), answered) {
 		return
 	}
--- a/instance/requests.go
+++ b/instance/requests.go
@@ -111,8 +111,6 @@
 		return job.OutcomeRefused
 	case errors.Is(err, store.ErrInvalid):
 		return job.OutcomeMalformed
-	case errors.Is(err, jobstore.ErrWithdrawn):
-		return job.OutcomeWithdrawn
 	}
 	return job.OutcomeUnknown
 }
@@ -123,8 +121,6 @@
 	switch outcome {
 	case job.OutcomeRefused:
 		response.Reason, response.RetryAfter, response.RetryElsewhere = "the store does not take the request", storeRetryAfter, true
-	case job.OutcomeWithdrawn:
-		response.Reason = "the job was cancelled before it was stored, and never runs"
 	case job.OutcomeMalformed:
 		response.Reason = "the store does not accept the request, which may be too large"
 	case job.OutcomeUnknown:
@@ -135,8 +131,8 @@
 
 // writeWithRetries makes an idempotent write: directly, then again without waiting for a
 // slow attempt (a job goes to its other partition), and through the leader if the store
-// does not answer this instance. The outcome is refused or withdrawn only if no attempt can
-// have been carried out.
+// does not answer this instance. The outcome is refused only if no attempt can have been
+// carried out.
 func (s *shard) writeWithRetries(deadline time.Time, writeDirectly func(ctx context.Context, attempt int) job.Outcome, relayMessage link.Message) job.Outcome {
 	i := s.instance
 	ctx, cancel := context.WithDeadline(i.ctx, deadline)
@@ -184,19 +180,12 @@
 		select {
 		case o := <-outcomes:
 			openAttempts--
-			switch o {
-			case job.OutcomeRefused:
-			case job.OutcomeUnknown:
-				outcome = o
-			case job.OutcomeWithdrawn:
-				// Another attempt may have stored the job before it was withdrawn.
-				attempts = maxWriteAttempts
-				if outcome == job.OutcomeRefused {
-					outcome = o
-				}
-			default:
+			if o != job.OutcomeRefused && o != job.OutcomeUnknown {
 				return o
 			}
+			if o == job.OutcomeUnknown {
+				outcome = o
+			}
 			if openAttempts == 0 {
 				startAttempt()
 			}
--- a/job/job.go
+++ b/job/job.go
@@ -320,7 +320,6 @@
 	OutcomeNoJob     Outcome = "no_job"
 	OutcomeNoQueue   Outcome = "no_queue"
 	OutcomeMalformed Outcome = "malformed"
-	OutcomeWithdrawn Outcome = "withdrawn" // cancelled before it was stored; never runs
 )
 
 // Response is the answer to a client's request.
--- a/jobstore/jobstore.go
+++ b/jobstore/jobstore.go
@@ -6,8 +6,8 @@
 // partitions, the job's homes. They are derived from the job's id. There are two of
 // them because parts of the store may be unavailable. A job that is submitted again may
 // have a row in both homes; it is still one job. A cancellation is a separate row in a
-// partition that holds the job. If none does, it is stored in both homes, and the job is
-// withdrawn: no insertion that arrives later succeeds, until the rows are removed.
+// partition that holds the job. If none does, it is stored in both homes: an insertion that
+// is executed later fails, and a submission that arrives later is stored as cancelled.
 //
 // Only the leader writes progress, in the partition of the leader's row. Progress that is
 // too large for one row has further rows, which are written in the same transaction. Each save
@@ -164,38 +164,50 @@
 	delete(s.avoidUntil, home)
 }
 
-// Accept inserts a job into one of its homes and returns the version of the new row,
-// or zero if that home already holds the job. It returns store.ErrRefused if the
-// store did nothing and ErrWithdrawn if the job was cancelled before that home held it;
-// after any other error the job may have been inserted.
+// Accept inserts a job into one of its homes and returns the version of the new row. It
+// returns zero if that home already holds the job, or its cancellation; a job that was
+// cancelled before it was stored is stored as cancelled. It returns store.ErrRefused if the
+// store did nothing; after any other error the job may have been inserted.
 func (s *Store) Accept(ctx context.Context, home string, id job.ID, encoded []byte) (version int64, err error) {
-	version, err = s.client.Commit(ctx, store.Transaction{
-		Partition: home,
-		Expected:  []store.Condition{{Table: s.jobTable, Key: string(id)}, {Table: s.jobTable, Key: cancellationKey(id)}},
-		Writes:    []store.Write{{Table: s.jobTable, Key: string(id), Value: encoded}},
-	})
-	s.recordResponse(home, err)
+	version, err = s.insert(ctx, home, id, encoded, 0)
 	var conflict *store.Conflict
 	if !errors.As(err, &conflict) {
 		return version, err
 	}
+	cancelled := int64(0)
 	for _, row := range conflict.Rows {
-		if row.Key == string(id) && row.Version != 0 {
+		switch {
+		case row.Version == 0: // it does not exist
+		case row.Key == string(id):
 			return 0, nil
+		case row.Key == cancellationKey(id):
+			cancelled = row.Version
 		}
 	}
-	return 0, ErrWithdrawn
+	if cancelled == 0 {
+		return 0, err
+	}
+	_, err = s.insert(ctx, home, id, encoded, cancelled)
+	return 0, err
 }
 
-// ErrWithdrawn is the error of an insertion of a job that was cancelled before it was
-// stored.
-var ErrWithdrawn = errors.New("the job was cancelled before it was stored")
+// insert inserts a job into a home whose cancellation has a version there, which is zero
+// if there is none.
+func (s *Store) insert(ctx context.Context, home string, id job.ID, encoded []byte, cancelled int64) (version int64, err error) {
+	version, err = s.client.Commit(ctx, store.Transaction{
+		Partition: home,
+		Expected:  []store.Condition{{Table: s.jobTable, Key: string(id)}, {Table: s.jobTable, Key: cancellationKey(id), Version: cancelled}},
+		Writes:    []store.Write{{Table: s.jobTable, Key: string(id), Value: encoded}},
+	})
+	s.recordResponse(home, err)
+	return version, err
+}
 
 func cancellationKey(id job.ID) string { return string(id) + cancelSuffix }
 
 // Cancel stores a job's cancellation in a partition that holds the job. If no home of
-// the job holds it, Cancel makes sure that none ever will, and returns false: an earlier
-// insertion without an answer may still be in transit.
+// the job holds it, Cancel stores it in all of them and returns false: an earlier insertion
+// without an answer may still be in transit, and must fail.
 func (s *Store) Cancel(ctx context.Context, id job.ID) (bool, error) {
 	found, err := s.readJobRows(ctx, id)
 	if err != nil {
@@ -218,8 +230,7 @@
 }
 
 // withdraw stores the cancellation of a job that is not stored in all homes of the job
-// but those that have it, so that Accept fails there. It returns true if a home
-// holds the job by then.
+// but those that have it. It returns true if a home holds the job by then.
 func (s *Store) withdraw(ctx context.Context, id job.ID, cancelled []string) (stored bool, err error) {
 	homes := homesOf(id)
 	found := make([]bool, len(homes))
