soak, platform/standin: crashes whose orders reach the next incarnation

A runner that crashes keeps the orders that it receives until it restarts, and the new incarnation executes them first. The soak cuts such runners off 1 to 3 s later. With one shard, every fourth job may run on a single runner.

--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -66,7 +66,7 @@
 		store: standin.NewStore(), recorder: standin.NewRecorder(nil), splitLinks: map[*linkstandin.Link]bool{},
 	}
 	DeferCleanup(c.store.Close)
-	advice := standin.NewAdviceServer(c.recorder, allowsStep)
+	advice := standin.NewAdviceServer(c.recorder, c.allowsStep)
 	DeferCleanup(advice.Close)
 	c.writeConfiguration()
 	c.storeShardMap()
@@ -100,8 +100,8 @@
 	return c
 }
 
-// allowedTogether is the number of runners that may run a step whose policy is limited. They
-// are in different racks, so that one of them is in each shard.
+// allowedTogether is the number of runners among which those are that may run a step whose
+// policy is limited: one in each shard. They are in different racks.
 const allowedTogether = rackCount
 
 // isLimited reports whether only a few runners may run the steps of a job. The last digits of
@@ -112,11 +112,14 @@
 }
 
 // allowsStep is the policy of the advice service.
-func allowsStep(step, runner string) bool {
+func (c *cluster) allowsStep(step, runner string) bool {
 	id, _, _ := strings.Cut(step, ".")
 	limited, number := isLimited(id)
 	n, err := strconv.Atoi(strings.TrimPrefix(runner, "w"))
-	return err == nil && (!limited || n/allowedTogether == number%(runnerCount/allowedTogether))
+	if err != nil || !limited {
+		return err == nil
+	}
+	return n/allowedTogether == number%(runnerCount/allowedTogether) && (c.shardCount() > 1 || n%allowedTogether == 0)
 }
 
 // register writes the registration of the runner in a state to the store.
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -19,10 +19,12 @@
 	maxFaultDuration    = 4 * time.Second
 	minSplitDuration    = 6 * time.Second // exceeds the leases and the confirmation of a former leader
 	maxSplitDuration    = 9 * time.Second
-	maxRunnersBeside    = 2                // of a leader that is split off
-	minRestartDuration  = 4 * time.Second  // of a runner that is cut off after its restart
-	maxRestartDuration  = 10 * time.Second // exceeds the leases that leaders grant
-	maxContactTime      = 2 * time.Second  // between a restart and the cut
+	maxRunnersBeside    = 2                      // of a leader that is split off
+	minRestartDuration  = 4 * time.Second        // of a runner that is cut off after its restart
+	maxRestartDuration  = 10 * time.Second       // exceeds the leases that leaders grant
+	crashDuration       = 600 * time.Millisecond // of a runner that is cut off after its restart
+	minContactTime      = time.Second            // between its restart and the cut
+	maxContactTime      = 3 * time.Second
 	minLossDuration     = 4800 * time.Millisecond
 	maxLossDuration     = 6 * time.Second
 	registrationTimeout = 4500 * time.Millisecond // of a lost runner
@@ -182,9 +184,11 @@
 	// Orders that are meant for the former incarnation reach the one that is cut off.
 	{name: "runner restarted and cut off", minDuration: minRestartDuration, maxDuration: maxRestartDuration, inject: func(c *cluster, r *rand.Rand) func() {
 		target := pickRandom(r, c.runners)
+		target.runner.Crash()
+		time.Sleep(crashDuration)
 		target.runner.Restart()
-		resetConnections(target.byCaller...)
-		time.Sleep(time.Duration(r.Int64N(int64(maxContactTime))))
+		target.register(c.store, "ready")
+		time.Sleep(minContactTime + time.Duration(r.Int64N(int64(maxContactTime-minContactTime))))
 		return c.applyFaults(cutBothDirections, target.byCaller...)
 	}},
 	// The registrations are removed, and a step that only these runners may run has to wait.
