dispatch, platform/runner: the clock in the answer to a start shows a restart

Cause: a ticket that was issued after a restart lets a worker accept a start before the leader has noticed the restart. Its deadline is a time of the former clock, so the lease becomes the longest that workers grant.

Change: if the clock in the answer is another one, the worker is read at once and the lease is taken to last MaxHoldMs.

Measured: the new spec fails without the change.

--- a/dispatch/enrolment.go
+++ b/dispatch/enrolment.go
@@ -66,3 +66,27 @@
 	}
 	return r.predecessorSuspectedAt.Add(withClockMargin(duration))
 }
+
+// clockTolerance is how far a reading of a worker's clock may be from the expected one before it
+// counts as another clock.
+const clockTolerance = 500 * time.Millisecond
+
+// showsRestart reports whether an answer to an order that was sent at a time has a reading of
+// another clock than the worker's last known one, because it is of another incarnation.
+func (w *worker) showsRestart(clock int64, sentAt, now time.Time) bool {
+	if w.clockAt.IsZero() {
+		return false
+	}
+	drift := time.Duration(clockDriftFraction * float64(now.Sub(w.clockAt).Abs()))
+	earliest := w.toWorkerClock(sentAt.Add(-clockTolerance - drift))
+	latest := w.toWorkerClock(now.Add(clockTolerance + drift))
+	return clock < earliest || clock > latest
+}
+
+// suspectRestart reads a worker at once that seems to have restarted. A ticket that was issued
+// after the restart lets it execute starts before its new incarnation was read, and their
+// deadlines are times of the former clock.
+func (r *Reducer) suspectRestart(w *worker) {
+	w.readSoon = true
+	w.extendLease(r.now, r.now.Add(r.longestLease()))
+}
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -58,6 +58,7 @@
 	StartAnswered struct {
 		Worker      job.WorkerID
 		Token       int64 // of the order
+		Clock       int64 // the worker's clock, in milliseconds; zero without an answer
 		Task        job.TaskID
 		Run         int64
 		Rejection   job.Rejection
--- a/dispatch/fakeworker_test.go
+++ b/dispatch/fakeworker_test.go
@@ -101,7 +101,7 @@
 		case sim.losesCrossingStarts && w.readLives[l.term] != w.startTime:
 			answer.Err = errors.New("no answer")
 		default:
-			answer.Rejection = w.start(sim, s, delay > 0)
+			answer.Rejection, answer.Clock = w.start(sim, s, delay > 0), w.clock(sim)
 		}
 		if sendAnswer {
 			sim.schedule(networkDelay, func() { applyIfLeading(answer) })
--- a/dispatch/start.go
+++ b/dispatch/start.go
@@ -56,6 +56,9 @@
 	if ordered == nil {
 		return
 	}
+	if e.Clock != 0 && w.showsRestart(e.Clock, ordered.orderedAt, r.now) {
+		r.suspectRestart(w)
+	}
 	r.starts.release(ordered)
 	note := Note{Job: e.Task.Job, Task: e.Task, Run: e.Run, Worker: e.Worker}
 	switch {
--- a/dispatch/transit_test.go
+++ b/dispatch/transit_test.go
@@ -150,6 +150,28 @@
 		})
 	}
 
+	// A ticket that was issued after a restart let the worker execute a start before its new
+	// incarnation was read. The deadline was a time of the former clock (soak, seed 4: two runs).
+	It("extend the lease of an incarnation that only the answer to a start shows", func() {
+		sim := newSimulation(2, 16, checks)
+		sim.allows = func(job.StepID, job.WorkerID) bool { return true }
+		sim.taskLength = func(job.TaskID) time.Duration { return 9 * time.Second }
+		sim.advance(200 * time.Millisecond)
+		for _, w := range sim.workers {
+			w.restart(sim.now)
+		}
+		sim.submit(newJob(1, "checks", job.Step{Tasks: 1, Demand: demand(16, 4), EstimateMilliseconds: 9000}))
+		sim.advance(60 * time.Millisecond)
+		for _, w := range sim.workers {
+			if len(w.running) > 0 {
+				sim.leader.reaches = func(id job.WorkerID) bool { return id != w.worker.ID }
+			}
+		}
+		sim.advance(30 * time.Second)
+		Expect(sim.violations).To(BeEmpty())
+		Expect(state(sim)).To(Equal(job.StateCompleted))
+	})
+
 	// A stop that was answered by the former incarnation was not repeated when the run appeared
 	// in the next one.
 	It("do not start a task that was cancelled for long", func() {
--- a/dispatch/verdict_test.go
+++ b/dispatch/verdict_test.go
@@ -79,7 +79,7 @@
 		sim := newSimulation(4, 32, plain)
 		sim.advance(200 * time.Millisecond)
 		sim.outcome = func(job.TaskID, int64) job.EndKind { return job.EndFailed }
-		sim.taskLength = func(t job.TaskID) time.Duration {
+		sim.taskLength = func(job.TaskID) time.Duration {
 			return time.Duration(6+sim.random.IntN(20)) * time.Second
 		}
 		const jobs, tasks = 8, 5
--- a/instance/effects.go
+++ b/instance/effects.go
@@ -79,14 +79,14 @@
 	ctx, cancel := context.WithTimeout(l.ctx, orderTimeout)
 	defer cancel()
 	began := time.Now()
-	rejection, err := l.instance.runner.Start(ctx, s.Worker.Address, s.Worker.ID, runner.StartOrder{
+	answer, err := l.instance.runner.Start(ctx, s.Worker.Address, s.Worker.ID, runner.StartOrder{
 		Task: s.Task, Run: s.Run, Spec: s.Spec, Checkpoint: s.Checkpoint, Ticket: s.Ticket,
 		Token: s.Token, DeadlineMilliseconds: s.Deadline,
 	})
 	l.instance.timer("start_order").UpdateSince(began)
 	unhealthy := errors.Is(err, runner.ErrUnhealthy)
 	l.post(dispatch.StartAnswered{
-		Worker: s.Worker.ID, Token: s.Token, Task: s.Task, Run: s.Run, Rejection: rejection, Err: err, Unhealthy: unhealthy,
+		Worker: s.Worker.ID, Token: s.Token, Task: s.Task, Run: s.Run, Clock: answer.ClockMilliseconds, Rejection: answer.Rejection, Err: err, Unhealthy: unhealthy,
 		NotExecuted: err != nil && runner.IsNotExecuted(err),
 	})
 }
