--- a/instance/settings.go
+++ b/instance/settings.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"net/netip"
 	"os"
+	"slices"
+	"strings"
 
 	"github.com/go-faster/errors"
 
@@ -29,7 +31,14 @@
 	MaxHoldMilliseconds     int64   // longest lease that a worker grants
 	StopTimeoutMilliseconds int64   // longest time that a worker needs for a stop
 	RetentionSeconds        int64   // time for which clients can query a job after its end
-	MaxRowBytes             int     // largest value of a row in the store; set from the command line or the environment
+	LinkMegabits            float64 // bandwidth of the machine's link, megabits a second; zero if unknown
+	MaxDescriptors          int64   // file descriptors of the process; zero if unknown
+	Features                string  // optional rules that the deployment asks for, separated by commas
+	// StrictRevocation is set if requests with a key are refused once the configuration has
+	// not been confirmed for RevocationMilliseconds.
+	StrictRevocation       bool
+	RevocationMilliseconds int64
+	MaxRowBytes            int // largest value of a row in the store; set from the command line or the environment
 }
 
 // wireSettings is the JSON form of Settings.
@@ -49,6 +58,19 @@
 	MaxHoldMilliseconds     int64   `json:"max_hold_milliseconds"`
 	StopTimeoutMilliseconds int64   `json:"stop_timeout_milliseconds"`
 	RetentionSeconds        int64   `json:"retention_seconds"`
+	LinkMegabits            float64 `json:"link_megabits"`
+	MaxDescriptors          int64   `json:"max_descriptors"`
+	Features                string  `json:"features"`
+	StrictRevocation        bool    `json:"strict_revocation"`
+	RevocationMilliseconds  int64   `json:"revocation_milliseconds"`
+}
+
+// FeatureTenants is the feature of deployments whose requests carry keys of tenants.
+const FeatureTenants = "tenants"
+
+// HasFeature reports whether the deployment asks for an optional rule.
+func (s *Settings) HasFeature(name string) bool {
+	return slices.Contains(strings.Split(s.Features, ","), name)
 }
 
 // LoadSettings reads and checks the settings file at path. The error carries a finding.List
@@ -76,6 +98,8 @@
 		Name: w.Name, DataCentre: model.DataCentre(w.DataCentre), ProcessorShare: w.ProcessorShare,
 		MemoryMegabytes: w.MemoryMegabytes, GraceSeconds: w.GraceSeconds, MaxHoldMilliseconds: w.MaxHoldMilliseconds,
 		StopTimeoutMilliseconds: w.StopTimeoutMilliseconds, RetentionSeconds: w.RetentionSeconds,
+		LinkMegabits: w.LinkMegabits, MaxDescriptors: w.MaxDescriptors, Features: w.Features,
+		StrictRevocation: w.StrictRevocation, RevocationMilliseconds: w.RevocationMilliseconds,
 	}
 	addresses := []struct {
 		field    string
@@ -121,6 +145,19 @@
 			findings.Add(name+": "+p.field, "must be positive")
 		}
 	}
+	notNegative := []struct {
+		field string
+		value float64
+	}{
+		{"link_megabits", s.LinkMegabits},
+		{"max_descriptors", float64(s.MaxDescriptors)},
+		{"revocation_milliseconds", float64(s.RevocationMilliseconds)},
+	}
+	for _, n := range notNegative {
+		if n.value < 0 {
+			findings.Add(name+": "+n.field, "must not be negative")
+		}
+	}
 	if s.Name == "" {
 		findings.Add(name+": instance", "must not be empty")
 	}
--- a/job/job.go
+++ b/job/job.go
@@ -13,6 +13,7 @@
 
 import (
 	"cmp"
+	"crypto/sha256"
 	"fmt"
 	"net/netip"
 	"strconv"
@@ -169,6 +170,8 @@
 	AcceptedAt time.Time
 	Version    int64 // of its row in the store; zero if it is not known to be stored
 	Definition Definition
+	// Tenant is the name of the tenant that submitted the job; empty if it has none.
+	Tenant string
 	// Policy is the queue at the time of acceptance. It applies once the queue is no longer
 	// configured. Jobs that were stored by earlier versions have none.
 	Policy *Queue
@@ -188,6 +191,15 @@
 	AdviceCallMilliseconds   float64 // expected time of a call for advice
 	AdviceWorkerMilliseconds float64 // added for each worker named in a call
 	TicketMilliseconds       float64 // validity of a ticket
+	Public                   bool    // requests need no key of a tenant
+}
+
+// Tenant is a customer that shares the workers with others.
+type Tenant struct {
+	Name       string
+	KeyDigests [][sha256.Size]byte // of the keys that its requests carry
+	Weight     float64             // its share of full workers relative to that of others; also the jobs a second that it is entitled to
+	Limit      model.Resources     // what may run at once on all workers; zero fields mean no limit
 }
 
 // Configuration is one version of the operator's configuration.
@@ -195,6 +207,7 @@
 	Version      int64
 	MaxBodyBytes int64
 	Queues       []Queue
+	Tenants      []Tenant
 }
 
 // Route returns the queue of a host with the longest prefix that matches a path.
