instance, link: instances without the store get the configuration from leaders

Cause: a third of the instances loses the store for 9 s while keys are revoked, and would go on accepting them.

Change: where requests need keys, an instance whose reading of the configuration has had no answer for 700 ms asks the linked leaders in turn, every 500 ms, one request at a time. The leader answers from memory and sends the row only if it is newer, with digests instead of keys. The answer takes the same path as the store's row, so an older version never wins. Only a leader whose own reading of the store is recent confirms the version; otherwise two leaders without the store would confirm each other. The wait for changes of the configuration is 400 ms there, so that an answer is overdue in time.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -136,6 +136,7 @@
 		}
 	}
 	i.goroutines.Go(i.followConfiguration)
+	i.goroutines.Go(i.followLeadersConfiguration)
 	i.goroutines.Go(i.registerInstance)
 	i.goroutines.Go(i.joinElections)
 	i.goroutines.Go(i.probeStore)
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -387,6 +387,8 @@
 		l.mu.Unlock()
 	case link.KindStatusRequest, link.KindQueueLengthRequest:
 		l.answerQuery(m, c.Send)
+	case link.KindConfigurationRequest:
+		c.Send(l.instance.configurationAnswer(m))
 	case link.KindAdviceResponse:
 		l.post(adviceAnswer(m))
 	case link.KindStoreJobRequest, link.KindStoreCancellationRequest:
--- a/instance/member.go
+++ b/instance/member.go
@@ -95,7 +95,7 @@
 		i.handleLeadershipMessage(c, m)
 	case link.KindAdviceRequest:
 		go i.handleAdviceRequest(c, m)
-	case link.KindStatusResponse, link.KindQueueLengthResponse, link.KindStoreResponse:
+	case link.KindStatusResponse, link.KindQueueLengthResponse, link.KindStoreResponse, link.KindConfigurationResponse:
 		i.mu.Lock()
 		answers := i.pendingRequests[m.Number]
 		delete(i.pendingRequests, m.Number)
--- a/link/link.go
+++ b/link/link.go
@@ -65,6 +65,8 @@
 	KindJobOffered                               // instance: a job that it is about to store
 	KindLeadershipReleased                       // leader: it has released the leadership; Known if the receiver is the successor
 	KindProcessorShare                           // instance: the processor time that is available to it
+	KindConfigurationRequest                     // instance: requests a configuration that is newer than Version
+	KindConfigurationResponse                    // leader: the version that it has, in Data if newer; Known if it has confirmed it at the store
 )
 
 // Message is a message between a leader and an instance. Its kind determines which
