leadercapacity, instance, link: rank leaders by all resources that they need

Cause: rank and yielding considered the processor only. An instance of 0.48 processors with a link of 10 Mbit/s succeeded a leader of 0.8 processors with 200 Mbit/s; with the first burst, 1,000 starts timed out within two seconds while its processor was two thirds idle.

Change: leadercapacity.Estimate multiplies the processor time by the scarcest of link, memory and descriptors, measured against the need of a full shard. Instances that differ only in their processors keep their order. The rows of instances carry the capacity in a new field; rows without it count by their processor share. KindProcessorShare carries the capacity in the same field.

Changed tests: link/fuzz_test.go and instance/leader_test.go use the renamed fields; their assertions are the same.

--- a/instance/follow.go
+++ b/instance/follow.go
@@ -179,7 +179,7 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(l.ctx)
-	m := &member{address: address, incarnation: w.Incarnation, processorShare: w.ProcessorShare, cancel: cancel}
+	m := &member{address: address, incarnation: w.Incarnation, capacity: w.leaderCapacity(), cancel: cancel}
 	l.members[row.Key] = m
 	l.goroutines.Go(func() { l.maintainLink(ctx, row.Key, m) })
 }
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -42,7 +42,7 @@
 	// close.
 	announceDelay     = 40 * time.Millisecond
 	yieldDelay        = 2 * time.Second        // time that a leader leads before it may yield to a larger instance
-	yieldFactor       = 1.3                    // ratio of processor time above which a leader yields to another instance
+	yieldFactor       = 1.3                    // ratio of capacities above which a leader yields to another instance
 	lateTickThreshold = 500 * time.Millisecond // a tick that is later is logged
 )
 
@@ -73,11 +73,11 @@
 
 // member is another instance, as a leader knows it.
 type member struct {
-	address        netip.AddrPort
-	incarnation    int64
-	processorShare float64 // share of one processor
-	cancel         context.CancelFunc
-	conn           *link.Conn // nil while no link is open
+	address     netip.AddrPort
+	incarnation int64
+	capacity    float64 // share of a full shard's load that it can lead
+	cancel      context.CancelFunc
+	conn        *link.Conn // nil while no link is open
 }
 
 // reducerQuery is an event that reads the state of the reducer.
@@ -144,7 +144,7 @@
 			l.load.report(s.log, time.Now())
 			if s.canYield(lastTick, termStart) && l.hasLargerMember() {
 				s.recordYield()
-				logevent.LeadershipYielded.Log(s.log, zap.Int64("token", l.token), zap.Float64("processor_share", s.availableProcessorShare()))
+				logevent.LeadershipYielded.Log(s.log, zap.Int64("token", l.token), zap.Float64("capacity", s.availableCapacity()))
 				go l.resign()
 			}
 		}
@@ -234,7 +234,7 @@
 }
 
 // announceRelease notifies the linked instances that the leadership is free, and asks one
-// of them to claim it at once: the one with the most processor time; among equals one that
+// of them to claim it at once: the one that can lead most; among equals one that
 // prefers the shard, then the one that was started last, since instances restart in turn.
 func (l *leadership) announceRelease(version int64) (successor string) {
 	l.mu.Lock()
@@ -244,7 +244,7 @@
 		if m.conn == nil {
 			continue
 		}
-		if best == nil || cmp.Or(cmp.Compare(m.processorShare, best.processorShare),
+		if best == nil || cmp.Or(cmp.Compare(m.capacity, best.capacity),
 			-cmp.Compare(l.shard.preferenceDistance(name), l.shard.preferenceDistance(successor)), cmp.Compare(m.incarnation, best.incarnation)) > 0 {
 			best, successor = m, name
 		}
@@ -323,11 +323,11 @@
 	return linked
 }
 
-// compareSuccessors returns a negative number if a is to claim before b: larger instances
-// come first, and among equals those that were started later, since instances restart in
+// compareSuccessors returns a negative number if a is to claim before b: instances that
+// can lead more come first, and among equals those that were started later, since instances restart in
 // turn.
 func compareSuccessors(a, b *member) int {
-	return cmp.Or(cmp.Compare(b.processorShare, a.processorShare), cmp.Compare(b.incarnation, a.incarnation))
+	return cmp.Or(cmp.Compare(b.capacity, a.capacity), cmp.Compare(b.incarnation, a.incarnation))
 }
 
 // successionRank returns the number of linked instances that are to claim before m. A new
@@ -343,14 +343,13 @@
 	return n
 }
 
-// hasLargerMember reports whether a linked instance has much more processor time than this
-// one.
+// hasLargerMember reports whether a linked instance can lead much more than this one.
 func (l *leadership) hasLargerMember() bool {
-	share := l.shard.availableProcessorShare()
+	capacity := l.shard.availableCapacity()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, m := range l.members {
-		if m.conn != nil && m.processorShare > share*yieldFactor {
+		if m.conn != nil && m.capacity > capacity*yieldFactor {
 			return true
 		}
 	}
@@ -382,7 +381,7 @@
 	case link.KindProcessorShare:
 		l.mu.Lock()
 		if known := l.members[name]; known != nil {
-			known.processorShare = m.ProcessorShare
+			known.capacity = m.LeaderCapacity
 		}
 		l.mu.Unlock()
 	case link.KindStatusRequest, link.KindQueueLengthRequest:
--- a/instance/leader_test.go
+++ b/instance/leader_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/fxamacker/cbor/v2"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -15,11 +16,11 @@
 	It("have the same rank in the sorted order and when computed alone", func() {
 		linked := &link.Conn{}
 		l := &leadership{members: map[string]*member{
-			"small": {processorShare: 0.2, incarnation: 9, conn: linked},
-			"old":   {processorShare: 0.8, incarnation: 1, conn: linked},
-			"new":   {processorShare: 0.8, incarnation: 5, conn: linked},
-			"twin":  {processorShare: 0.8, incarnation: 5, conn: linked},
-			"apart": {processorShare: 0.9, incarnation: 7},
+			"small": {capacity: 0.2, incarnation: 9, conn: linked},
+			"old":   {capacity: 0.8, incarnation: 1, conn: linked},
+			"new":   {capacity: 0.8, incarnation: 5, conn: linked},
+			"twin":  {capacity: 0.8, incarnation: 5, conn: linked},
+			"apart": {capacity: 0.9, incarnation: 7},
 		}}
 		want := map[string]int64{"new": 0, "twin": 0, "old": 2, "small": 3}
 		order := l.successionOrder()
@@ -31,3 +32,30 @@
 		}
 	})
 })
+
+var _ = Describe("The row of an instance", func() {
+	// During an update, instances of two versions read each other's rows.
+	It("counts the processor time if an earlier version wrote it", func() {
+		capacity := 0.12
+		for _, row := range []struct {
+			wire wireMember
+			want float64
+		}{
+			{wireMember{Address: "127.0.0.1:1", ProcessorShare: 0.48}, 0.48},
+			{wireMember{Address: "127.0.0.1:1", ProcessorShare: 0.48, Capacity: &capacity}, 0.12},
+		} {
+			data, err := cbor.Marshal(row.wire)
+			Expect(err).NotTo(HaveOccurred())
+			var read wireMember
+			Expect(cbor.Unmarshal(data, &read)).To(Succeed())
+			Expect(read.leaderCapacity()).To(Equal(row.want))
+		}
+	})
+
+	// A leader of 0.48 processors at a link of 10 Mbit/s could not send its starts.
+	It("has the capacity that the instance's link allows", func() {
+		slow, fast := Settings{ProcessorShare: 0.48, LinkMegabits: 10}, Settings{ProcessorShare: 0.4, LinkMegabits: 200}
+		Expect(slow.leaderCapacity(1, 0)).To(BeNumerically("<", fast.leaderCapacity(1, 0)))
+		Expect(fast.leaderCapacity(1, 0)).To(Equal(0.4))
+	})
+})
--- a/instance/member.go
+++ b/instance/member.go
@@ -27,12 +27,26 @@
 	Address        string  `cbor:"1,keyasint"`
 	Incarnation    int64   `cbor:"2,keyasint"`
 	ProcessorShare float64 `cbor:"3,keyasint"` // share of one processor
+	// Capacity is the share of a full shard's load that the instance can lead; missing in
+	// rows of earlier versions.
+	Capacity *float64 `cbor:"4,keyasint,omitempty"`
+}
+
+// leaderCapacity returns the capacity, or the processor share of a row without one.
+func (w *wireMember) leaderCapacity() float64 {
+	if w.Capacity == nil {
+		return w.ProcessorShare
+	}
+	return *w.Capacity
 }
 
 // registerInstance writes the row of this instance, from which the leaders learn its
 // address.
 func (i *Instance) registerInstance() {
-	value, err := cbor.Marshal(wireMember{Address: i.settings.AdvertisedAddress.String(), Incarnation: i.incarnation, ProcessorShare: i.settings.ProcessorShare})
+	capacity := i.settings.leaderCapacity(1, 0)
+	value, err := cbor.Marshal(wireMember{
+		Address: i.settings.AdvertisedAddress.String(), Incarnation: i.incarnation, ProcessorShare: i.settings.ProcessorShare, Capacity: &capacity,
+	})
 	if err != nil {
 		logevent.InstanceRowUnreadable.Log(i.log, zap.String("member", i.settings.Name), errorField(err))
 		return
@@ -53,8 +67,8 @@
 
 // instanceRank is the position of an instance among the registered ones.
 type instanceRank struct {
-	larger  int64 // number of instances with more processor time
-	earlier int64 // number of instances with equal processor time and a lower name
+	larger  int64 // number of instances that can lead more
+	earlier int64 // number of instances that can lead as much and have a lower name
 	// largestShare is the processor time of the largest instance, as a share of one processor.
 	largestShare float64
 }
@@ -63,6 +77,7 @@
 // instance counts as the largest.
 func (i *Instance) readInstanceRank() (rank instanceRank) {
 	rank.largestShare = i.settings.ProcessorShare
+	own := i.settings.leaderCapacity(1, 0)
 	ctx, cancel := context.WithTimeout(i.ctx, storeCallTimeout)
 	defer cancel()
 	rows, _, err := i.store.Read(ctx, memberTable, memberPartition, "", "")
@@ -79,9 +94,9 @@
 		}
 		rank.largestShare = max(rank.largestShare, w.ProcessorShare)
 		switch {
-		case w.ProcessorShare > i.settings.ProcessorShare:
+		case w.leaderCapacity() > own:
 			rank.larger++
-		case w.ProcessorShare == i.settings.ProcessorShare && row.Key < i.settings.Name:
+		case w.leaderCapacity() == own && row.Key < i.settings.Name:
 			rank.earlier++
 		}
 	}
--- a/instance/shard.go
+++ b/instance/shard.go
@@ -49,7 +49,7 @@
 	leaderWriteTime time.Duration  // duration of the leader's last write to the store
 	leaderRelease   *leaderRelease // the leader's release that the election has not handled yet; nil if there is none
 	successionRank  int64          // number of instances that are to claim before this one
-	hasYielded      bool           // this instance has yielded to one with more processor time since its own speed last changed
+	hasYielded      bool           // this instance has yielded to one that can lead more since its own speed last changed
 	unreportedJobs  []link.Message // notifications of jobs that were stored while no leader was known
 }
 
--- a/instance/speed.go
+++ b/instance/speed.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"fuchsiacross/leadercapacity"
 	"fuchsiacross/link"
 	"fuchsiacross/logevent"
 	"fuchsiacross/processorspeed"
@@ -21,7 +22,7 @@
 
 // monitorProcessorSpeed measures the processor and notifies the leaders when it becomes
 // slow and when it is normal again. A leader that has become slow yields to an instance
-// that now has more processor time.
+// that now can lead more.
 func (i *Instance) monitorProcessorSpeed() {
 	monitor := processorspeed.New()
 	for sleep(i.ctx, speedInterval) {
@@ -48,7 +49,7 @@
 }
 
 // canYield reports whether a leader whose term began at termStart may yield to an instance
-// with more processor time. It may do so once, and again after each change of its own
+// that can lead more. It may do so once, and again after each change of its own
 // speed.
 func (s *shard) canYield(now, termStart time.Time) bool {
 	s.instance.mu.Lock()
@@ -66,6 +67,20 @@
 	s.hasYielded = true
 }
 
+// availableCapacity returns the share of a full shard's load that this instance can lead for
+// the shard now.
+func (s *shard) availableCapacity() float64 {
+	s.instance.mu.Lock()
+	defer s.instance.mu.Unlock()
+	return s.instance.settings.leaderCapacity(s.instance.slowdown, s.countOtherLedShards())
+}
+
+// leaderCapacity returns the share of a full shard's load that the instance can lead beside
+// other shards while its processor is slower than at its best.
+func (s *Settings) leaderCapacity(slowdown float64, otherShards int64) float64 {
+	return leadercapacity.Estimate(s.ProcessorShare, slowdown, s.LinkMegabits, s.MemoryMegabytes, s.MaxDescriptors, otherShards)
+}
+
 // sendProcessorShares notifies the leaders of all shards that other instances lead.
 func (i *Instance) sendProcessorShares() {
 	for _, s := range i.shards() {
@@ -74,11 +89,11 @@
 }
 
 func (s *shard) sendProcessorShare() {
-	share := s.availableProcessorShare()
+	capacity := s.availableCapacity()
 	s.instance.mu.Lock()
 	leaderConn := s.leaderConn
 	s.instance.mu.Unlock()
 	if leaderConn != nil {
-		leaderConn.Send(link.Message{Kind: link.KindProcessorShare, ProcessorShare: share})
+		leaderConn.Send(link.Message{Kind: link.KindProcessorShare, LeaderCapacity: capacity})
 	}
 }
--- a/link/fuzz_test.go
+++ b/link/fuzz_test.go
@@ -36,7 +36,7 @@
 		for i := range frame {
 			m := fromWire(&frame[i])
 			wire := toWire(&m)
-			if again := fromWire(&wire); !math.IsNaN(m.ProcessorShare) && !reflect.DeepEqual(again, m) {
+			if again := fromWire(&wire); !math.IsNaN(m.LeaderCapacity) && !reflect.DeepEqual(again, m) {
 				t.Fatalf("decoded %+v, sent on as %+v", m, again)
 			}
 		}
--- a/link/link.go
+++ b/link/link.go
@@ -64,7 +64,7 @@
 	KindLeadershipConfirmed                      // leader: the store has confirmed the leadership; Count is the receiver's rank as a successor
 	KindJobOffered                               // instance: a job that it is about to store
 	KindLeadershipReleased                       // leader: it has released the leadership; Known if the receiver is the successor
-	KindProcessorShare                           // instance: the processor time that is available to it
+	KindProcessorShare                           // instance: how much it can lead
 )
 
 // Message is a message between a leader and an instance. Its kind determines which
@@ -86,7 +86,7 @@
 	Tickets        []job.Ticket
 	Error          string
 	Outcome        job.Outcome   // of a KindStoreResponse
-	ProcessorShare float64       // processor time that the instance has for the shard; 1 is one processor at full speed
+	LeaderCapacity float64       // share of a full shard's load that the instance can lead for the shard
 	Version        int64         // of the row of a stored job, or of the released leader row
 	WriteDuration  time.Duration // of the leader's last write to the store; milliseconds on the wire
 }
@@ -109,7 +109,7 @@
 	Error             string      `cbor:"16,keyasint,omitempty"`
 	Outcome           string      `cbor:"17,keyasint,omitempty"`
 	Version           int64       `cbor:"18,keyasint,omitempty"`
-	ProcessorShare    float64     `cbor:"19,keyasint,omitempty"`
+	LeaderCapacity    float64     `cbor:"19,keyasint,omitempty"`
 	Shard             int         `cbor:"20,keyasint,omitempty"`
 	WriteMilliseconds int64       `cbor:"21,keyasint,omitempty"`
 }
@@ -118,7 +118,7 @@
 	w := wireMessage{
 		Kind: int(m.Kind), Number: m.Number, Name: m.Name, Shard: m.Shard, Token: m.Token,
 		Job: string(m.Job), Queue: m.Queue, State: string(m.State), Known: m.Known, Count: m.Count,
-		Data: m.Data, Occurrence: m.Step.Occurrence, Step: m.Step.Step, Error: m.Error, Outcome: string(m.Outcome), Version: m.Version, ProcessorShare: m.ProcessorShare, WriteMilliseconds: m.WriteDuration.Milliseconds(),
+		Data: m.Data, Occurrence: m.Step.Occurrence, Step: m.Step.Step, Error: m.Error, Outcome: string(m.Outcome), Version: m.Version, LeaderCapacity: m.LeaderCapacity, WriteMilliseconds: m.WriteDuration.Milliseconds(),
 	}
 	if m.Step.Job != "" {
 		w.Job = string(m.Step.Job)
@@ -137,7 +137,7 @@
 		Kind: Kind(w.Kind), Number: w.Number, Name: w.Name, Shard: w.Shard, Token: w.Token,
 		Job: job.ID(w.Job), Queue: w.Queue, State: job.State(w.State), Known: w.Known, Count: w.Count,
 		Data: w.Data, Step: job.StepID{Job: job.ID(w.Job), Occurrence: w.Occurrence, Step: w.Step},
-		Error: w.Error, Outcome: job.Outcome(w.Outcome), Version: w.Version, ProcessorShare: w.ProcessorShare, WriteDuration: time.Duration(w.WriteMilliseconds) * time.Millisecond,
+		Error: w.Error, Outcome: job.Outcome(w.Outcome), Version: w.Version, LeaderCapacity: w.LeaderCapacity, WriteDuration: time.Duration(w.WriteMilliseconds) * time.Millisecond,
 	}
 	for _, id := range w.Workers {
 		m.Workers = append(m.Workers, job.WorkerID(id))
--- a/logevent/list.go
+++ b/logevent/list.go
@@ -99,11 +99,11 @@
 	InstanceLinked          = Event{828, zapcore.InfoLevel, "instance linked", "The link to another instance is open."}
 	InstanceUnlinked        = Event{829, zapcore.WarnLevel, "instance unlinked", "The link to another instance has closed and is opened again."}
 	InstanceRowUnreadable   = Event{830, zapcore.ErrorLevel, "instance row unreadable", "The row of an instance cannot be decoded and is ignored."}
-	LeadershipYielded       = Event{831, zapcore.InfoLevel, "leadership yielded", "A linked instance has much more processor time; this one gives up the leadership, but only once."}
+	LeadershipYielded       = Event{831, zapcore.InfoLevel, "leadership yielded", "A linked instance can lead much more; this one gives up the leadership, but only once. Capacity is the share of a full shard's load that this instance can lead."}
 	RankUnavailable         = Event{832, zapcore.WarnLevel, "rank unknown", "The registered instances cannot be read; this one claims the leadership as if it were the largest."}
 	LeadershipReleased      = Event{833, zapcore.InfoLevel, "leadership released", "The leader has given up the leadership; its successor claims it immediately."}
 	PredecessorRunsSettled  = Event{834, zapcore.InfoLevel, "predecessor's runs settled", "Every run of the predecessor is accounted for, so tasks of its jobs can start again. Age is the time since the registrations were read."}
-	ProcessorSpeedChanged   = Event{835, zapcore.WarnLevel, "processor speed changed", "A fixed amount of work takes several times as long as at best, or no longer does. An instance with a slow processor claims the leadership later, and yields it to one with more processor time."}
+	ProcessorSpeedChanged   = Event{835, zapcore.WarnLevel, "processor speed changed", "A fixed amount of work takes several times as long as at best, or no longer does. An instance with a slow processor claims the leadership later, and yields it to one that can lead more."}
 	ShardsKnown             = Event{836, zapcore.InfoLevel, "shards known", "The instance has read the map of shards and accepts requests from now on."}
 	ShardsPlanned           = Event{837, zapcore.InfoLevel, "shards planned", "No map of shards was stored, so this instance has computed one from the registered workers; the first map that is stored is used."}
 	ShardsUnavailable       = Event{838, zapcore.WarnLevel, "shards unknown", "The map of shards, or the registrations from which to compute it, cannot be read; this is retried."}
--- a/settings/field.go
+++ b/settings/field.go
@@ -231,5 +231,21 @@
 		fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s |\n", f.pointer, f.typeName, f.formatRange(), defaultText, f.description)
 	}
 	b.WriteString("| `/peers` | list of objects |  |  | instances known before the platform's list is read, each with `instance`, `address` and `data_centre` |\n")
+	b.WriteString(instanceSection)
 	return b.String()
 }
+
+// instanceSection describes those settings of fuchsiacross-instance that bound how much it
+// leads. docs/OPERATIONS.md lists the others.
+const instanceSection = `
+## Capacity to lead of fuchsiacross-instance
+
+The program for the users' platform reads a file of its own ([OPERATIONS.md](OPERATIONS.md)). These fields determine how much of the load of a shard it can lead ([CAPACITY.md](CAPACITY.md)).
+
+| field | type | unit | range | default | description |
+| --- | --- | --- | --- | --- | --- |
+| ` + "`/processor_share`" + ` | number | processors | above 0 | required | share of one processor |
+| ` + "`/memory_megabytes`" + ` | integer | MB | above 0 | required | memory of the instance |
+| ` + "`/link_megabits`" + ` | number | Mbit/s | 0 or more | 0, unknown | bandwidth of the machine's link |
+| ` + "`/max_descriptors`" + ` | integer | descriptors | 0 or more | 0, unknown | file descriptors of the process |
+`
