instance, election: delay the first claim by the capacity to lead

Cause: in a new fleet the delay of the first claim followed the share of a processor alone, so that an instance of 0.48 processors at a link of 10 Mbit/s claimed before one of 0.4 processors at 200 Mbit/s.

Change: the election gets the capacity, with the slowdown of the processor and the other shards that the instance leads.

An instance of 0.4 processors that lacks nothing claims after 0.72 s as before.

--- a/election/election.go
+++ b/election/election.go
@@ -10,7 +10,7 @@
 //
 // # Usage
 //
-//	e := election.New(processorShare, interval, jitter)
+//	e := election.New(capacity, interval, jitter)
 //	e.RecordLeaderMessage(now, leaderWriteTime)
 //	switch e.NextAction(now) {
 //	case election.Read: ...
@@ -45,7 +45,7 @@
 	rankDelay = 60 * time.Millisecond
 	maxRank   = 10
 	// maxInitialDelay is the longest wait of an instance where there has never been a
-	// leader. The smaller its share of a processor, the longer it waits.
+	// leader. The less it can lead, the longer it waits.
 	maxInitialDelay = 1200 * time.Millisecond
 	// minReadings is the number of reads that must return the same version before a claim.
 	minReadings = 2
@@ -64,7 +64,7 @@
 // Election is what one instance knows about the leadership of a shard. It is not safe for
 // concurrent use.
 type Election struct {
-	processorShare  float64 // of one processor
+	capacity        float64 // share of a full shard's load that this instance can lead
 	jitter          time.Duration
 	silenceTimeout  time.Duration // silence of the leader after which the row is read
 	rank            int64
@@ -86,10 +86,10 @@
 }
 
 // New returns the state of an instance that has not heard from any leader yet. The
-// processorShare is its share of one processor. A working leader sends it a message in each
+// capacity is the share of a full shard's load that it can lead. A working leader sends it a message in each
 // interval. The jitter delays its claims, so that several instances do not claim at once.
-func New(processorShare float64, interval, jitter time.Duration) *Election {
-	return &Election{processorShare: processorShare, jitter: jitter, silenceTimeout: time.Duration(leaderSilenceFactor * float64(interval))}
+func New(capacity float64, interval, jitter time.Duration) *Election {
+	return &Election{capacity: capacity, jitter: jitter, silenceTimeout: time.Duration(leaderSilenceFactor * float64(interval))}
 }
 
 // SetRank sets the number of instances that are to claim before this one. The penalty adds
@@ -103,7 +103,7 @@
 		return 0
 	}
 	if e.rowVersion == 0 {
-		return e.jitter + time.Duration(max(0, 1-e.processorShare)*float64(maxInitialDelay)) + rankDelay*time.Duration(e.penalty)
+		return e.jitter + time.Duration(max(0, 1-e.capacity)*float64(maxInitialDelay)) + rankDelay*time.Duration(e.penalty)
 	}
 	return e.jitter + max(rankDelay, e.slowestRead)*time.Duration(min(e.rank, maxRank)) + rankDelay*time.Duration(e.penalty)
 }
--- a/instance/elect.go
+++ b/instance/elect.go
@@ -33,7 +33,7 @@
 	if !i.waitForConfiguration(i.ctx) {
 		return
 	}
-	e := election.New(i.settings.ProcessorShare, s.confirmationInterval(), randomDelay(maxClaimJitter))
+	e := s.newElection(randomDelay(maxClaimJitter))
 	lastHeardAt := time.Time{}
 	if !s.isPreferred() {
 		// Only the instances that prefer the shard look for its leader at once. Otherwise
@@ -84,13 +84,18 @@
 			e.RecordRow(time.Now(), sentAt, l.WrittenAt, version, ended)
 		case election.Claim:
 			s.claimLeadership(e, predecessor)
-			e = election.New(i.settings.ProcessorShare, s.confirmationInterval(), randomDelay(maxClaimJitter))
+			e = s.newElection(randomDelay(maxClaimJitter))
 			lastHeardAt = time.Now()
 			e.RecordLeaderMessage(lastHeardAt, 0)
 		}
 	}
 }
 
+// newElection returns the state of an instance that knows nothing about the leader.
+func (s *shard) newElection(jitter time.Duration) *election.Election {
+	return election.New(s.availableCapacity(), s.confirmationInterval(), jitter)
+}
+
 // claimLeadership tries to become the leader and leads until the term ends. It does not
 // read the row again: the claim fails if the row has changed. Of a predecessor that has
 // released the leadership, only the token is known.
