dispatch: start tasks only within their tenants' quotas

Cause: nothing bounds what a tenant runs. A successor in particular would start a tenant's tasks beside runs of its predecessor that it has not read.

Change: runs are charged in startRun and adoptRun and released in releaseRun. A pass counts the capacity of workers that may have unknown runs, and asks the ledger once for each step how many tasks may start. A step without room is skipped: it reserves nothing, requests no advice and is not passed over. A step that is not a gang starts the tasks that fit. Without tenants the pass does not look at the workers for this.

Demands are charged with the processors of fillers, which take none from a worker's capacity: what a tenant runs is never counted too low.

The fake workers now check with each start that what a tenant runs on all of them, whoever started it, is at most its limit times 1.1 and one task.

--- a/dispatch/adopt.go
+++ b/dispatch/adopt.go
@@ -102,6 +102,7 @@
 	}
 	w.runs[runKey{running.Task, running.Run}] = adopted
 	w.used = w.used.Add(s.step.Allocation())
+	r.quota.Charge(j.job.Tenant, s.step.Demand)
 	w.extendLease(r.now, r.now.Add(confirmationTimeout))
 	j.started = true
 	r.addNote(Note{
--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -236,7 +236,7 @@
 		refreshed := 0
 		for _, c := range r.advice.candidates {
 			s := c.step
-			if !s.job.queue.RequiresAdvice || s.complete() || s.job.closed() || r.now.Before(s.advice.retryAt) {
+			if !s.job.queue.RequiresAdvice || s.complete() || s.job.closed() || r.now.Before(s.advice.retryAt) || r.waitsForQuota(s) {
 				continue
 			}
 			class := r.callClass(&s.job.queue)
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -239,6 +239,8 @@
 	NoteProgressRejected
 	NoteRunAdopted
 	NoteStepOverdue
+	NoteTenantAtQuota
+	NoteStepAboveQuota
 	// NoteKindCount is the number of kinds.
 	NoteKindCount
 )
--- a/dispatch/fakeworker_test.go
+++ b/dispatch/fakeworker_test.go
@@ -181,6 +181,7 @@
 		run.length = time.Duration(float64(run.length) * w.slowdown)
 	}
 	w.running[s.Task] = run
+	sim.checkQuota(sim.jobs[s.Task.Job].Tenant, step.Demand)
 	sim.schedule(run.length, func() {
 		if w.running[s.Task] != run || w.unreachable {
 			return
@@ -197,6 +198,28 @@
 	return ""
 }
 
+// checkQuota records a violation if a start brings what a tenant has running on all workers, whoever
+// started it, above its limit times 1.1 and one task more.
+func (sim *simulation) checkQuota(tenant string, started model.Resources) {
+	at := slices.IndexFunc(sim.tenants, func(t job.Tenant) bool { return t.Name == tenant })
+	if at < 0 {
+		return
+	}
+	limit, used := sim.tenants[at].Limit, model.Resources{}
+	for _, w := range sim.workers {
+		for task := range w.running {
+			if j := sim.jobs[task.Job]; j.Tenant == tenant && !w.unreachable {
+				used = used.Add(j.Definition.Steps[task.Step].Demand)
+			}
+		}
+	}
+	exceeds := func(used, limit, task int64) bool { return limit > 0 && used > limit+limit/10+task }
+	if exceeds(used.MilliCPU, limit.MilliCPU, started.MilliCPU) || exceeds(used.MemoryBytes, limit.MemoryBytes, started.MemoryBytes) {
+		sim.addViolation("tenant %s has %v running, its limit is %v", tenant, used, limit)
+	}
+	sim.peakUse[tenant] = sim.peakUse[tenant].Max(used)
+}
+
 // ticketValidity is how long a ticket is valid, as in the queues of the specs.
 const ticketValidity = 2500 * time.Millisecond
 
--- a/dispatch/formerleader_random_test.go
+++ b/dispatch/formerleader_random_test.go
@@ -30,6 +30,8 @@
 	crossOrders bool
 	// keepLeader plays no faults that replace the leader.
 	keepLeader bool
+	// submitters are the tenants whose jobs are submitted in turn; none means jobs without a tenant.
+	submitters []string
 }
 
 const (
@@ -268,6 +270,9 @@
 		steps = append(steps, newStep())
 	}
 	j := newJob(n, f.queues[0].Name, steps...)
+	if len(f.submitters) > 0 {
+		j.Tenant = f.submitters[n%len(f.submitters)]
+	}
 	if f.random.IntN(4) == 0 {
 		j.Definition.Occurrences = 1 + f.random.Int64N(3)
 		j.Definition.FirstDueMilliseconds = f.now.Add(f.between(0, 5*time.Second)).UnixMilli()
@@ -336,6 +341,18 @@
 	})
 }
 
+// Starts above a tenant's quota beside runs that the leader does not know: of former leaders, on
+// workers that are cut off or restart, and of starts that are executed late.
+func TestRandomFaultsWithQuotas(t *testing.T) {
+	playRandomFaults(t, func(seed uint64) *formerLeaderFaults {
+		f := newFormerLeaderFaults(seed, plain)
+		// A gang of four tasks of eight processors fits the smallest limit exactly.
+		f.setTenants(job.Tenant{Name: "a", Limit: demand(32, 0)}, job.Tenant{Name: "b", Limit: demand(40, 8)}, job.Tenant{Name: "c"})
+		f.submitters = []string{"a", "b", "a", "c", ""}
+		return f
+	})
+}
+
 func playRandomFaults(t *testing.T, newFaults func(seed uint64) *formerLeaderFaults) {
 	const seeds, jobs = 120, 24
 	for seed := range uint64(seeds) {
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -132,6 +132,8 @@
 	moveCount         int           // how often runs were moved off slow workers
 	lengths           lengths
 	rackBlockedSince  time.Time // from when on no rack has had capacity for its tasks; zero before
+	atQuota           bool      // the last pass skipped it because of its tenant's quota
+	aboveQuota        bool      // it was logged that it can never run within its tenant's quota
 }
 
 // recordCheckpoint stores the checkpoint of a run. The checkpoint of any member is valid for
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -18,11 +18,13 @@
 	r.needsPass, r.lastPassAt = false, r.now
 	r.advice.needsCalls = true
 	complete := r.passes.beginPass(r.now)
+	r.quota.ClearHidden()
 	p := pass{Reducer: r, reserving: complete && r.now.Sub(r.lastReservationAt) >= reserveInterval}
 	for _, w := range r.sortedWorkers {
 		w.acceptsRuns, w.uncommitted = r.acceptsRuns(w), w.free()
 		w.unreliable, w.suspect = w.health.isUnreliable(r.now), w.health.isSuspect(r.now)
 		r.noteHealthChange(w)
+		r.hideUnreadRuns(w)
 		if p.reserving {
 			w.reservedUntil, w.reservedFor = time.Time{}, nil
 		}
@@ -134,8 +136,12 @@
 func (p *pass) placeStep(c candidate) {
 	s := c.step
 	missing := s.idleTasks()
-	choices := p.choosePlaces(c, missing)
-	blocked := len(choices) < missing
+	admitted := p.admitByQuota(s, missing)
+	if s.atQuota {
+		return
+	}
+	choices := p.choosePlaces(c, admitted)
+	blocked := len(choices) < admitted
 	if s.step.Gang && (blocked || missing < len(s.tasks)) {
 		choices = nil
 	}
@@ -175,7 +181,7 @@
 	}
 	p.explainWaiting(c, missing, len(choices))
 	if blocked && (c.overdue && p.reserving || s.step.Gang && p.mayReserve() && c.grade != gradeTooLate) {
-		p.reserveWorkers(s)
+		p.reserveWorkers(s, admitted)
 	}
 }
 
@@ -253,8 +259,8 @@
 	}
 }
 
-// choosePlaces chooses a worker for each idle task, as far as there is capacity. The result is
-// valid until the next call.
+// choosePlaces chooses a worker for each of the missing tasks, as far as there is capacity. The
+// result is valid until the next call.
 func (p *pass) choosePlaces(c candidate, missing int) []choice {
 	s := c.step
 	demand := s.step.Allocation()
@@ -294,6 +300,9 @@
 		p.scorePlace(s, &p.places[i])
 	}
 	for i := range s.tasks {
+		if len(p.choices) == missing {
+			break
+		}
 		if !s.tasks[i].idle() {
 			continue
 		}
--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -27,6 +27,7 @@
 	"time"
 
 	"fuchsiacross/job"
+	"fuchsiacross/quota"
 )
 
 const (
@@ -77,6 +78,8 @@
 	MaxPendingStarts int
 	// LeaderCount is the number of leaders that share the store; zero counts as one.
 	LeaderCount int
+	// Shard is the number of the shard, below LeaderCount.
+	Shard int
 	// MaxRowBytes is the largest value of a row that the store accepts; zero means no limit.
 	MaxRowBytes int
 	Policy      Policy
@@ -97,6 +100,7 @@
 	stopTimeoutMilliseconds int64
 	retentionSeconds        int64
 	leaderCount             int
+	shard                   int
 	maxPartBytes            int // of the parts into which progress is divided
 	token                   int64
 	nextRun                 int64
@@ -153,6 +157,7 @@
 
 	starts startWindow
 	advice advisor
+	quota  *quota.Ledger
 
 	now     time.Time
 	effects Effects
@@ -162,7 +167,7 @@
 func New(o Options) *Reducer {
 	r := &Reducer{
 		policy: o.Policy, maxHoldMilliseconds: o.MaxHoldMilliseconds,
-		stopTimeoutMilliseconds: o.StopTimeoutMilliseconds, retentionSeconds: o.RetentionSeconds, leaderCount: o.LeaderCount,
+		stopTimeoutMilliseconds: o.StopTimeoutMilliseconds, retentionSeconds: o.RetentionSeconds, leaderCount: o.LeaderCount, shard: o.Shard,
 		maxPartBytes: maxPartBytes(o.MaxRowBytes), maxSavedJobs: maxSaveEntries,
 		token:              o.Token,
 		nextRun:            o.Token * runNumbersPerToken,
@@ -181,6 +186,7 @@
 		firstLeader:        o.FirstLeader,
 		starts:             newStartWindow(o.MaxPendingStarts),
 		advice:             newAdvisor(),
+		quota:              quota.NewLedger(),
 	}
 	if !o.FirstLeader {
 		r.predecessorSuspectedAt = o.PredecessorSuspectedAt
@@ -292,6 +298,7 @@
 	for _, q := range c.Queues {
 		r.queues[q.Name] = q
 	}
+	r.quota.Configure(c.Tenants, r.shard, r.leaderCount)
 	for _, j := range r.jobs {
 		if q, ok := r.queues[j.job.Queue]; ok {
 			j.plan(q)
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -40,9 +40,9 @@
 	tasks  int
 }
 
-// reserveWorkers reserves the workers that are the first to have capacity for all waiting tasks
-// of a blocked step. Otherwise smaller tasks would take each gap before it is large enough.
-func (p *pass) reserveWorkers(s *stepState) {
+// reserveWorkers reserves the workers that are the first to have capacity for the given number of
+// tasks of a blocked step. Otherwise smaller tasks would take each gap before it is large enough.
+func (p *pass) reserveWorkers(s *stepState, need int) {
 	p.reservationSearches++
 	var openings []opening
 	p.eachEligible(s, func(w *worker, _ *ticket) {
@@ -56,7 +56,6 @@
 		}
 		return compare(a.worker.registration.ID, b.worker.registration.ID)
 	})
-	need := s.idleTasks()
 	taken := 0
 	for taken < len(openings) && need > 0 {
 		need -= openings[taken].tasks
--- a/dispatch/simulation_test.go
+++ b/dispatch/simulation_test.go
@@ -29,6 +29,7 @@
 	lastAction     int
 	random         *rand.Rand
 	queues         []job.Queue
+	tenants        []job.Tenant
 	workers        map[job.WorkerID]*fakeWorker
 	lanes          map[string]time.Time // until when a lane is busy
 	// laneCount is the number of instances that can request advice.
@@ -56,7 +57,8 @@
 	confirmed       int64                     // version of the last write of a leader
 	beforeLoad      func()                    // called before a new leader has loaded the jobs
 	cancels         []job.ID
-	completedAt     map[job.ID]time.Time // when a job was first shown as completed
+	peakUse         map[string]model.Resources // the most that ran at once, by tenant
+	completedAt     map[job.ID]time.Time       // when a job was first shown as completed
 
 	removedJobs     []job.ID
 	removalError    error // result of removals
@@ -161,7 +163,7 @@
 		noteCounts: map[dispatch.NoteKind]int{},
 		jobs:       map[job.ID]job.Job{}, submittedAt: map[job.ID]time.Time{}, progress: map[job.ID]dispatch.Progress{}, furtherParts: map[dispatch.ProgressPart]dispatch.Progress{}, enrolled: map[job.WorkerID]dispatch.Enrolment{}, missingFromLoad: map[job.ID]bool{}, notStored: map[job.ID]bool{},
 		acknowledged: map[job.TaskID]bool{}, endedDone: map[job.TaskID]bool{},
-		completedAt: map[job.ID]time.Time{}, startedAt: map[job.ID]time.Time{}, allows: allowTwoThirds,
+		completedAt: map[job.ID]time.Time{}, peakUse: map[string]model.Resources{}, startedAt: map[job.ID]time.Time{}, allows: allowTwoThirds,
 		laneCount:      defaultLaneCount,
 		started:        func(dispatch.StartRun) (bool, time.Duration) { return true, 0 },
 		orderDelay:     func(job.WorkerID) time.Duration { return 0 },
@@ -207,7 +209,7 @@
 	sim.reducer = dispatch.New(o)
 	l := &leader{reducer: sim.reducer, term: sim.term, reaches: sim.nextReaches}
 	sim.leader, sim.nextReaches = l, nil
-	sim.apply(dispatch.ConfigurationChanged{Configuration: &job.Configuration{Queues: sim.queues}})
+	sim.apply(dispatch.ConfigurationChanged{Configuration: &job.Configuration{Queues: sim.queues, Tenants: sim.tenants}})
 	sim.setLanes(sim.laneCount)
 	ids := make([]job.WorkerID, 0, len(sim.workers))
 	for id := range sim.workers {
@@ -589,3 +591,9 @@
 	}
 	return sum%3 != 0
 }
+
+// setTenants puts a configuration with tenants in force.
+func (sim *simulation) setTenants(tenants ...job.Tenant) {
+	sim.tenants = tenants
+	sim.apply(dispatch.ConfigurationChanged{Configuration: &job.Configuration{Queues: sim.queues, Tenants: tenants}})
+}
--- a/dispatch/start.go
+++ b/dispatch/start.go
@@ -16,6 +16,7 @@
 	task.run = ordered
 	w.runs[runKey{ordered.task, number}] = ordered
 	w.used = w.used.Add(s.step.Allocation())
+	r.quota.Charge(s.job.job.Tenant, s.step.Demand)
 	end := r.leaseEnd()
 	w.extendLease(r.now, end)
 	checkpoint := task.checkpoint
--- /dev/null
+++ b/dispatch/tenantquota.go
@@ -0,0 +1,47 @@
+package dispatch
+
+import (
+	"fmt"
+	"time"
+
+	"fuchsiacross/model"
+)
+
+// hideUnreadRuns counts the capacity of a worker as used by every tenant with a limit while it may
+// have runs that are not charged.
+func (r *Reducer) hideUnreadRuns(w *worker) {
+	if r.quota.Limited() && (len(w.orphans) > 0 || r.mayHavePredecessorRuns(w)) {
+		r.quota.Hide(w.registration.Capacity, w.used)
+	}
+}
+
+// admitByQuota returns how many of the missing tasks of a step its tenant's quota allows to start.
+// A step that it holds back is not passed over by others, and requests no advice.
+func (p *pass) admitByQuota(s *stepState, missing int) int {
+	tenant := s.job.job.Tenant
+	admitted := min(missing, p.quota.Room(tenant, s.step.Demand))
+	s.atQuota = admitted < missing && (admitted == 0 || s.step.Gang)
+	if !s.atQuota {
+		return admitted
+	}
+	s.passedOverSince, s.promoted = time.Time{}, false
+	if p.quota.Skip(tenant, p.now) {
+		used, limit := p.quota.Use(tenant)
+		p.addNote(Note{Kind: NoteTenantAtQuota, Job: s.id.Job, Detail: fmt.Sprintf(
+			"%s uses %s of %s; runs on unread workers may use %s", tenant, describe(used), describe(limit), describe(p.quota.Hidden()))})
+	}
+	if reason := p.quota.Exceeded(tenant, s.step); reason != "" && !s.aboveQuota {
+		s.aboveQuota = true
+		p.addNote(Note{Kind: NoteStepAboveQuota, Job: s.id.Job, Detail: fmt.Sprintf("step %d of %s: %s", s.id.Step, tenant, reason)})
+	}
+	return 0
+}
+
+// describe returns a text of resources for log lines. Dimensions without a limit are very large.
+func describe(r model.Resources) string {
+	return fmt.Sprintf("%dm %dMB %d accelerators", r.MilliCPU, r.MemoryBytes>>20, r.Accelerators)
+}
+
+// waitsForQuota reports whether a step needs no advice before its tenant's use has fallen. The time
+// until the workers are read is too short for a call to wait for it.
+func (r *Reducer) waitsForQuota(s *stepState) bool { return s.atQuota && r.quota.Hidden().IsZero() }
--- /dev/null
+++ b/dispatch/tenantquota_test.go
@@ -0,0 +1,123 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"fuchsiacross/dispatch"
+	"fuchsiacross/job"
+	"fuchsiacross/model"
+)
+
+// tenantJob returns a job of a tenant with tasks of four processors that run for eight seconds.
+func tenantJob(n int, tenant string, tasks int, gang bool) job.Job {
+	j := newJob(n, "plain", job.Step{Tasks: tasks, Gang: gang, Demand: demand(4, 1), EstimateMilliseconds: 8000})
+	j.Tenant = tenant
+	return j
+}
+
+// runningTasks returns how many tasks of a job run on all workers.
+func (sim *simulation) runningTasks(id job.ID) int {
+	n := 0
+	for _, w := range sim.workers {
+		for task := range w.running {
+			if task.Job == id {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func newTenants(limit model.Resources) *simulation {
+	sim := newSimulation(4, 16, plain)
+	sim.setTenants(job.Tenant{Name: "a", Limit: limit}, job.Tenant{Name: "b"})
+	sim.advance(200 * time.Millisecond)
+	return sim
+}
+
+// Guards against a tenant at its quota that holds up others, or reserves workers for its gangs.
+func TestTenantAtItsQuotaHoldsUpNobody(t *testing.T) {
+	g := NewWithT(t)
+	sim := newTenants(demand(30, 0))
+	sim.submit(tenantJob(1, "a", 5, false))
+	sim.submit(tenantJob(2, "a", 5, true))
+	sim.submit(tenantJob(3, "a", 5, false))
+	sim.submit(tenantJob(4, "b", 9, false))
+	sim.advance(time.Second)
+	g.Expect(sim.runningTasks(id(1))).To(Equal(5))
+	g.Expect(sim.runningTasks(id(2))).To(Equal(0), "a gang starts whole or not at all")
+	g.Expect(sim.runningTasks(id(3))).To(Equal(2), "the tasks that fit the quota start")
+	g.Expect(sim.runningTasks(id(4))).To(Equal(9), "the rest of the capacity is free for others")
+	sim.advance(4 * time.Second)
+	g.Expect(sim.capacity.Reservations).To(BeEmpty())
+	g.Expect(sim.noteCounts[dispatch.NoteTenantAtQuota]).To(BeNumerically("<=", 3))
+	g.Expect(sim.noteCounts[dispatch.NoteTenantAtQuota]).To(BeNumerically(">", 0))
+	sim.advance(40 * time.Second)
+	for n := 1; n <= 4; n++ {
+		state, _ := sim.reducer.Status(id(n))
+		g.Expect(state).To(Equal(job.StateCompleted), "job %d", n)
+	}
+	g.Expect(sim.violations).To(BeEmpty())
+}
+
+// Guards against a new leader that starts a tenant's tasks beside runs that it has not read, and
+// against one that holds up tenants without a limit meanwhile.
+func TestNewLeaderCountsUnreadWorkersAgainstQuotas(t *testing.T) {
+	g := NewWithT(t)
+	sim := newTenants(demand(28, 0))
+	sim.submit(tenantJob(1, "a", 7, false))
+	sim.advance(time.Second)
+	g.Expect(sim.runningTasks(id(1))).To(Equal(7))
+	g.Expect(len(sim.workers["w00"].running) + len(sim.workers["w01"].running)).To(Equal(7))
+	// The workers with the runs are cut off from the new leader, but continue.
+	sim.nextReaches = func(w job.WorkerID) bool { return w == "w02" || w == "w03" }
+	sim.startSuccessor(sim.now)
+	sim.submit(tenantJob(2, "a", 7, false))
+	sim.submit(tenantJob(3, "b", 4, false))
+	sim.advance(time.Second)
+	g.Expect(sim.runningTasks(id(2))).To(Equal(0))
+	g.Expect(sim.runningTasks(id(3))).To(Equal(4))
+	sim.advance(30 * time.Second)
+	g.Expect(sim.peakUse["a"].MilliCPU).To(Equal(int64(28_000)))
+	g.Expect(sim.violations).To(BeEmpty())
+	state, _ := sim.reducer.Status(id(2))
+	g.Expect(state).To(Equal(job.StateCompleted), "the quota is free again once the leases have expired")
+}
+
+// Guards against runs on a partitioned worker that are taken for ended while they continue.
+func TestRunsOfPartitionedWorkersStayCharged(t *testing.T) {
+	g := NewWithT(t)
+	sim := newTenants(demand(28, 0))
+	sim.submit(tenantJob(1, "a", 7, false))
+	sim.advance(time.Second)
+	sim.leader.reaches = func(w job.WorkerID) bool { return w != "w00" }
+	sim.submit(tenantJob(2, "a", 7, false))
+	sim.advance(30 * time.Second)
+	g.Expect(sim.peakUse["a"].MilliCPU).To(Equal(int64(28_000)))
+	g.Expect(sim.violations).To(BeEmpty())
+	state, _ := sim.reducer.Status(id(2))
+	g.Expect(state).To(Equal(job.StateCompleted))
+}
+
+// Guards against a lower limit that stops runs, and against silence about a gang that waits forever.
+func TestLowerLimitStopsNoRuns(t *testing.T) {
+	g := NewWithT(t)
+	sim := newTenants(demand(28, 0))
+	sim.submit(tenantJob(1, "a", 7, true))
+	sim.advance(time.Second)
+	sim.submit(tenantJob(2, "a", 5, true))
+	sim.setTenants(job.Tenant{Name: "a", Limit: demand(8, 0)}, job.Tenant{Name: "b"})
+	sim.advance(20 * time.Second)
+	state, _ := sim.reducer.Status(id(1))
+	g.Expect(state).To(Equal(job.StateCompleted))
+	g.Expect(sim.noteCounts[dispatch.NoteRunEnded]).To(Equal(7))
+	g.Expect(sim.runningTasks(id(2))).To(Equal(0))
+	g.Expect(sim.noteCounts[dispatch.NoteStepAboveQuota]).To(Equal(1))
+	sim.setTenants(job.Tenant{Name: "a", Limit: demand(20, 0)}, job.Tenant{Name: "b"})
+	sim.advance(time.Second)
+	g.Expect(sim.runningTasks(id(2))).To(Equal(5))
+	g.Expect(sim.violations).To(BeEmpty())
+}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -464,6 +464,7 @@
 	}
 	delete(w.runs, key)
 	w.used = w.used.Sub(run.step.step.Allocation())
+	r.quota.Release(run.step.job.job.Tenant, run.step.step.Demand)
 	if task := &run.step.tasks[run.task.Index]; task.run == run {
 		task.run = nil
 	}
--- a/instance/effects.go
+++ b/instance/effects.go
@@ -193,6 +193,8 @@
 	dispatch.NoteProgressRejected:       logevent.ProgressRejected,
 	dispatch.NoteRunAdopted:             logevent.RunAdopted,
 	dispatch.NoteStepOverdue:            logevent.StepOverdue,
+	dispatch.NoteTenantAtQuota:          logevent.TenantAtQuota,
+	dispatch.NoteStepAboveQuota:         logevent.StepAboveQuota,
 }
 
 func (i *Instance) counter(name string) metrics.Counter {
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -98,7 +98,7 @@
 		Token: l.token, ClaimedAt: claimedAt, PredecessorSuspectedAt: claimedAt, FirstLeader: previousVersion == 0,
 		ClaimVersion: version, PredecessorVersion: previousVersion,
 		MaxHoldMilliseconds: i.settings.MaxHoldMilliseconds, StopTimeoutMilliseconds: i.settings.StopTimeoutMilliseconds,
-		RetentionSeconds: i.settings.RetentionSeconds, LeaderCount: s.table.shardMap.Shards,
+		RetentionSeconds: i.settings.RetentionSeconds, LeaderCount: s.table.shardMap.Shards, Shard: s.number,
 		MaxRowBytes:      i.settings.MaxRowBytes,
 		MaxPendingStarts: max(minPendingStartsLimit, int(pendingStartsPerProcessor*s.availableProcessorShare())),
 	})
