dispatch: serve jobs within their tenants' shares first

Cause: a tenant that submits several times its usual work delays the work of all others, in particular if its queues have a high priority.

Change: each job is metered when the leader learns of it, and the loaded jobs in the order of acceptance. Steps beyond the share come after all others and are not promoted as overdue; a reservation for such a step does not hold up steps within. Among steps of equal grade and priority the tenants are interleaved by the ratio of use to weight. Without tenants the order is the same and nothing more is computed for it.

Failing without parts of the change: order by share: TestBurstBeyondTheShareComesLast, TestSuccessorKeepsTheOrderOfABurst, TestReservationBeyondTheShareHoldsUpNobody; interleaving: TestTenantsAreServedByTheirWeights; metering of loaded jobs: TestSuccessorKeepsTheOrderOfABurst; rule for reservations: TestReservationBeyondTheShareHoldsUpNobody.

--- a/dispatch/accept.go
+++ b/dispatch/accept.go
@@ -23,6 +23,7 @@
 	for _, j := range e.Jobs {
 		r.addJob(j)
 	}
+	r.meterLoadedJobs(e.Jobs)
 	sortProgress(e.Progress)
 	for _, p := range e.Progress {
 		if j := r.jobs[p.ID]; j != nil {
@@ -96,6 +97,7 @@
 		r.unsavedJobs[s] = struct{}{}
 	}
 	s.notified = notified
+	s.beyondShare = !r.shares.Within(j.Tenant, j.AcceptedAt)
 	s.uncertain = !r.neverStarted(s)
 	r.jobs[j.ID] = s
 	r.adoptOrphans(s)
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -26,6 +26,7 @@
 	remainingTimes       []time.Duration       // expected time from the start of each step to the end of the job
 	forecast             *forecast             // of the job's queue
 	offeredAt            time.Time             // zero once the job is stored
+	beyondShare          bool                  // its tenant had used up its share when it was accepted
 	planVersion          int                   // version of the forecast that the plan uses
 }
 
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -29,6 +29,7 @@
 	step     *stepState
 	grade    grade
 	deadline time.Time
+	beyond   bool    // of a job beyond its tenant's share
 	overdue  bool    // passed over for as long as it may be, and first in turn
 	lateness float64 // time since the job was due, as a multiple of its objective
 }
@@ -85,7 +86,7 @@
 		s.job.plan(s.job.queue)
 	}
 	due := s.dueTime()
-	c := candidate{step: s, deadline: due.Add(s.job.objective), lateness: float64(r.now.Sub(due)) / float64(max(1, s.job.objective))}
+	c := candidate{step: s, beyond: s.job.beyondShare, deadline: due.Add(s.job.objective), lateness: float64(r.now.Sub(due)) / float64(max(1, s.job.objective))}
 	expectedEnd := r.now.Add(s.job.remainingTimes[s.id.Step])
 	switch {
 	case expectedEnd.After(due.Add(maxLatenessFactor * s.job.objective)):
@@ -96,8 +97,8 @@
 	return c
 }
 
-// sortCandidates sorts the waiting steps: jobs that can be in time come first, then by
-// priority, then by deadline. Late jobs all earn the same fraction of their worth. Those that
+// sortCandidates sorts the waiting steps: jobs within their tenant's share come first, then jobs
+// that can be in time, then by priority, by the use of their tenants and by deadline. Late jobs all earn the same fraction of their worth. Those that
 // are late by the smallest part of their objective come first: under lasting overload the
 // others would end too late. The order does not depend on the size of a job, since the largest
 // would otherwise be served only when no other waits. Steps that have been passed over for too
@@ -114,6 +115,9 @@
 			}
 			return a.step.id.Compare(b.step.id)
 		}
+		if a.beyond != b.beyond {
+			return compareBool(a.beyond, b.beyond)
+		}
 		if a.grade != b.grade {
 			return compare(a.grade, b.grade)
 		}
@@ -129,6 +133,7 @@
 		return a.step.id.Compare(b.step.id)
 	})
 	if !r.policy.FirstComeFirstServed {
+		r.interleaveTenants(list)
 		r.promoteOverdue(list)
 	}
 	return list
--- a/dispatch/passedover.go
+++ b/dispatch/passedover.go
@@ -8,7 +8,7 @@
 // notePassedOver records that steps which opened later were started while a step was blocked.
 // Urgent steps do not count: they go before all others.
 func (r *Reducer) notePassedOver(s *stepState) {
-	if s.passedOverSince.IsZero() && r.latestStartedOpening.After(s.openedAt) {
+	if !s.job.beyondShare && s.passedOverSince.IsZero() && r.latestStartedOpening.After(s.openedAt) {
 		s.passedOverSince = r.now
 	}
 }
@@ -31,7 +31,7 @@
 func (r *Reducer) promoteOverdue(list []candidate) {
 	var overdue []*candidate
 	for i := range list {
-		if c := &list[i]; !c.isUrgentInTime() && r.isOverdue(c.step) {
+		if c := &list[i]; !c.isUrgentInTime() && !c.beyond && r.isOverdue(c.step) {
 			overdue = append(overdue, c)
 		}
 	}
--- a/dispatch/passlimit.go
+++ b/dispatch/passlimit.go
@@ -41,5 +41,5 @@
 // isUrgentInTime reports whether a step belongs to those that every pass considers. They come
 // first in the service order.
 func (c *candidate) isUrgentInTime() bool {
-	return c.grade == gradeInTime && c.step.job.queue.Priority == urgentPriority
+	return !c.beyond && c.grade == gradeInTime && c.step.job.queue.Priority == urgentPriority
 }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -270,7 +270,7 @@
 		if !demand.Fits(w.uncommitted) || !p.mayStartOn(w) {
 			return
 		}
-		if w.reservedFor != nil && w.reservedFor != s && s.job.queue.Priority > urgentPriority &&
+		if w.isReservedAgainst(s) && s.job.queue.Priority > urgentPriority &&
 			p.now.Add(scaleByPace(s.expectedLength(), &w.pace)).After(w.reservedUntil) {
 			return
 		}
--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -28,6 +28,7 @@
 
 	"fuchsiacross/job"
 	"fuchsiacross/quota"
+	"fuchsiacross/share"
 )
 
 const (
@@ -158,6 +159,7 @@
 	starts startWindow
 	advice advisor
 	quota  *quota.Ledger
+	shares *share.Meter
 
 	now     time.Time
 	effects Effects
@@ -187,6 +189,7 @@
 		starts:             newStartWindow(o.MaxPendingStarts),
 		advice:             newAdvisor(),
 		quota:              quota.NewLedger(),
+		shares:             share.NewMeter(o.LeaderCount),
 	}
 	if !o.FirstLeader {
 		r.predecessorSuspectedAt = o.PredecessorSuspectedAt
@@ -299,6 +302,7 @@
 		r.queues[q.Name] = q
 	}
 	r.quota.Configure(c.Tenants, r.shard, r.leaderCount)
+	r.shares.Configure(c.Tenants)
 	for _, j := range r.jobs {
 		if q, ok := r.queues[j.job.Queue]; ok {
 			j.plan(q)
