dispatch: reserve workers for the remaining tasks only

Cause: since a blocked step that is not a gang reserved workers for the tasks that had just been started too. This also changed decisions without tenants.

Change: the number of tasks to reserve for is taken after the starts again, less those that the quota withholds.

No test of the package failed before the change. go test ./dispatch passes.

--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -140,6 +140,7 @@
 	if s.atQuota {
 		return
 	}
+	withheld := missing - admitted
 	choices := p.choosePlaces(c, admitted)
 	blocked := len(choices) < admitted
 	if s.step.Gang && (blocked || missing < len(s.tasks)) {
@@ -181,7 +182,7 @@
 	}
 	p.explainWaiting(c, missing, len(choices))
 	if blocked && (c.overdue && p.reserving || s.step.Gang && p.mayReserve() && c.grade != gradeTooLate) {
-		p.reserveWorkers(s, admitted)
+		p.reserveWorkers(s, missing-withheld)
 	}
 }
 
