quota: give way to steps that the quota has held back for long

Cause: a gang waited without bound for its tenant's quota while smaller tasks of the same tenant took each part of it that became free. A step that waits for its quota is not passed over in the sense of promoteOverdue.

Change: a step that the quota has held back for as long as the objective of its job has the turn of its tenant: the tenant's other steps, except urgent ones in time, give way until it fits. A step within the share does not give way to one beyond it.

--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -40,6 +40,7 @@
 		r.stopPartialGangs()
 	}
 	r.advice.candidates = r.sortCandidates()
+	r.giveTurns(r.advice.candidates)
 	for _, c := range r.advice.candidates {
 		if !complete && !c.isUrgentInTime() {
 			r.needsPass = true
@@ -136,7 +137,7 @@
 func (p *pass) placeStep(c candidate) {
 	s := c.step
 	missing := s.idleTasks()
-	admitted := p.admitByQuota(s, missing)
+	admitted := p.admitByQuota(c, missing)
 	if s.atQuota {
 		return
 	}
--- a/dispatch/tenantquota.go
+++ b/dispatch/tenantquota.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"fuchsiacross/model"
+	"fuchsiacross/quota"
 )
 
 // hideUnreadRuns counts the capacity of a worker as used by every tenant with a limit while it may
@@ -15,15 +16,38 @@
 	}
 }
 
+// giveTurns chooses, for each tenant at its quota, the step that the others of the tenant give way
+// to: one that the quota has held back for as long as a step may be passed over.
+func (r *Reducer) giveTurns(list []candidate) {
+	if !r.quota.Limited() {
+		return
+	}
+	r.quota.ClearTurns()
+	for _, c := range list {
+		s, tenant := c.step, c.step.job.job.Tenant
+		if !s.quotaHeldSince.IsZero() && r.now.Sub(s.quotaHeldSince) >= s.job.objective && r.quota.Exceeded(tenant, s.step) == "" {
+			r.quota.OfferTurn(tenant, quota.Turn{Step: s.id, Since: s.quotaHeldSince, BeyondShare: c.beyond})
+		}
+	}
+}
+
 // admitByQuota returns how many of the missing tasks of a step its tenant's quota allows to start.
 // A step that it holds back is not passed over by others, and requests no advice.
-func (p *pass) admitByQuota(s *stepState, missing int) int {
+func (p *pass) admitByQuota(c candidate, missing int) int {
+	s := c.step
 	tenant := s.job.job.Tenant
 	admitted := min(missing, p.quota.Room(tenant, s.step.Demand))
+	if !c.isUrgentInTime() && p.quota.GivesWay(tenant, s.id, c.beyond) {
+		admitted = 0
+	}
 	s.atQuota = admitted < missing && (admitted == 0 || s.step.Gang)
 	if !s.atQuota {
+		s.quotaHeldSince = time.Time{}
 		return admitted
 	}
+	if s.quotaHeldSince.IsZero() {
+		s.quotaHeldSince = p.now
+	}
 	s.passedOverSince, s.promoted = time.Time{}, false
 	if p.quota.Skip(tenant, p.now) {
 		used, limit := p.quota.Use(tenant)
--- a/dispatch/tenantquota_test.go
+++ b/dispatch/tenantquota_test.go
@@ -121,3 +121,28 @@
 	g.Expect(sim.runningTasks(id(2))).To(Equal(5))
 	g.Expect(sim.violations).To(BeEmpty())
 }
+
+// Guards against a gang that waits forever for a quota of which smaller tasks of its own tenant take
+// each part that becomes free.
+func TestGangHasItsTurnWithinTheQuotaOfItsTenant(t *testing.T) {
+	g := NewWithT(t)
+	sim := newTenants(demand(32, 0))
+	gang := newJob(1, "plain", job.Step{Tasks: 8, Gang: true, Demand: demand(4, 1), EstimateMilliseconds: 2000})
+	gang.Tenant = "a"
+	for n := 2; n < 100; n++ {
+		small := newJob(n, "plain", job.Step{Tasks: 1, Demand: demand(4, 1), EstimateMilliseconds: 2000})
+		small.Tenant = "a"
+		sim.schedule(time.Duration(n)*200*time.Millisecond, func() { sim.submit(small) })
+	}
+	sim.advance(5 * time.Second)
+	sim.submit(gang)
+	objective := 4500 * time.Millisecond
+	sim.advance(objective + 2500*time.Millisecond)
+	g.Expect(sim.runningTasks(id(1))).To(Equal(8))
+	sim.advance(40 * time.Second)
+	for n := 1; n < 100; n++ {
+		state, _ := sim.reducer.Status(id(n))
+		g.Expect(state).To(Equal(job.StateCompleted), "job %d", n)
+	}
+	g.Expect(sim.violations).To(BeEmpty())
+}
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -22,6 +22,7 @@
 	limit     model.Resources // this leader's part
 	limited   bool
 	skipped   int64     // steps that were skipped since the last report
+	turn      *Turn     // of the step that others of the tenant give way to; nil if there is none
 	reachedAt time.Time // when its reaching the quota was last reported; zero before
 }
 
@@ -113,6 +114,47 @@
 	return true
 }
 
+// Turn is the turn of a step that its tenant's quota has held back for too long. Smaller steps of the
+// tenant would otherwise take each part of the quota that becomes free before a gang fits.
+type Turn struct {
+	Step        job.StepID
+	Since       time.Time // from when on the quota has held it back
+	BeyondShare bool
+}
+
+// ClearTurns begins a new choice of the turns.
+func (l *Ledger) ClearTurns() {
+	for _, a := range l.accounts {
+		a.turn = nil
+	}
+}
+
+// OfferTurn gives a step the turn of its tenant if it goes before the step that has it: within the
+// share first, then the one that was held back first.
+func (l *Ledger) OfferTurn(tenant string, t Turn) {
+	a := l.account(tenant)
+	if a.turn == nil || t.goesBefore(a.turn) {
+		a.turn = &t
+	}
+}
+
+func (t *Turn) goesBefore(other *Turn) bool {
+	if t.BeyondShare != other.BeyondShare {
+		return other.BeyondShare
+	}
+	if n := t.Since.Compare(other.Since); n != 0 {
+		return n < 0
+	}
+	return t.Step.Compare(other.Step) < 0
+}
+
+// GivesWay reports whether a step has to leave its tenant's quota to the step that has the turn. A
+// step within the share does not give way to one beyond it.
+func (l *Ledger) GivesWay(tenant string, step job.StepID, beyondShare bool) bool {
+	a := l.accounts[tenant]
+	return a != nil && a.turn != nil && a.turn.Step != step && (beyondShare || !a.turn.BeyondShare)
+}
+
 // Use returns the use of a tenant, and the part of its limit that this leader may use.
 func (l *Ledger) Use(tenant string) (used, limit model.Resources) {
 	a := l.accounts[tenant]
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -123,3 +123,23 @@
 	g.Expect(report[0].Skipped).To(Equal(int64(3)))
 	g.Expect(l.Report()[0].Skipped).To(Equal(int64(0)))
 }
+
+// Guards against two steps that give way to each other, and against work beyond the share that holds
+// up work within it.
+func TestOneStepOfATenantHasTheTurn(t *testing.T) {
+	g := NewWithT(t)
+	l, now := newLedger(milliCPU(1)), time.UnixMilli(1_700_000_000_000)
+	step := func(n int) job.StepID { return job.StepID{Job: "a", Step: n} }
+	l.OfferTurn("a", quota.Turn{Step: step(1), Since: now, BeyondShare: true})
+	g.Expect(l.GivesWay("a", step(2), false)).To(BeFalse())
+	g.Expect(l.GivesWay("a", step(2), true)).To(BeTrue())
+	l.OfferTurn("a", quota.Turn{Step: step(3), Since: now.Add(2)})
+	l.OfferTurn("a", quota.Turn{Step: step(4), Since: now.Add(1)})
+	g.Expect(l.GivesWay("a", step(4), false)).To(BeFalse())
+	for _, n := range []int{1, 2, 3} {
+		g.Expect(l.GivesWay("a", step(n), false)).To(BeTrue(), "step %d", n)
+	}
+	g.Expect(l.GivesWay("free", step(1), true)).To(BeFalse())
+	l.ClearTurns()
+	g.Expect(l.GivesWay("a", step(1), true)).To(BeFalse())
+}
