instance: refuse jobs that their tenants' quotas never let run

Cause: an accepted gang or task that exceeds its tenant's quota waits forever.

Change: a submission of a tenant is checked against the part of its limit that the job's shard has, before anything is offered or written, and refused with 429 without Retry-After; the reason names the dimension with both amounts. A job that is stored already, or of which nobody can tell, is not refused: a refusal promises that the job never runs, and a client repeats a submission that had no answer. Jobs get a tenant with the keys; until then the check does nothing.

--- a/instance/requests.go
+++ b/instance/requests.go
@@ -54,7 +54,11 @@
 func (i *Instance) storeSubmission(deadline time.Time, q job.Queue, id job.ID, d job.Definition) job.Response {
 	now := time.Now()
 	s := i.shardOf(id)
-	encoded, err := jobstore.EncodeJob(job.Job{ID: id, Queue: q.Name, Pool: q.Pool, AcceptedAt: now, Definition: d, Policy: &q})
+	accepted := job.Job{ID: id, Queue: q.Name, Pool: q.Pool, AcceptedAt: now, Definition: d, Policy: &q}
+	if response, refused := s.refuseForTenant(deadline.Add(-answerMargin), &accepted); refused {
+		return response
+	}
+	encoded, err := jobstore.EncodeJob(accepted)
 	if err != nil {
 		return job.Response{Outcome: job.OutcomeMalformed, Reason: err.Error()}
 	}
