dispatch, instance: refuse jobs beyond a share early

Cause: callers of a tenant with a burst have no sign that further jobs will wait, and the jobs pile up at the leader.

Change: every 0.2 s the leader lists the tenants of which work beyond the share has waited for more than a second, with the expected time until it has started, and sends the list with its confirmations (KindAdmission, only while the configuration has tenants). An instance refuses a further job of such a tenant that is beyond its own meter, with 429 and that time as Retry-After. The meter divides the weights by the number of instances that the message carries. A job that may be stored is not refused.

--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -127,6 +127,9 @@
 	Removals []job.ID
 	// Capacity reports where the capacity of the shard is; nil except every few seconds.
 	Capacity *CapacityReport
+	// Admission tells which tenants' jobs instances are to refuse; nil except every
+	// admissionInterval, and always without tenants.
+	Admission *Admission
 	// Notes lists decisions and observations for the log.
 	Notes []Note
 	// LeadershipLost is set when a worker has seen a higher token.
@@ -241,6 +244,7 @@
 	NoteStepOverdue
 	NoteTenantAtQuota
 	NoteStepAboveQuota
+	NoteShareExceeded
 	// NoteKindCount is the number of kinds.
 	NoteKindCount
 )
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -57,6 +57,7 @@
 		}
 		p.placeStep(c)
 	}
+	r.reportAdmission()
 	if complete {
 		r.passes.endPass()
 		r.reportCapacity()
--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -146,6 +146,8 @@
 	// urgent ones.
 	latestStartedOpening time.Time
 	lastCapacityReportAt time.Time
+	lastAdmissionAt      time.Time
+	refusedTenants       map[string]bool // of the last Admission
 	lastSweepAt          time.Time
 	lastReadScanAt       time.Time
 
--- a/dispatch/simulation_test.go
+++ b/dispatch/simulation_test.go
@@ -69,6 +69,7 @@
 	noteCounts      map[dispatch.NoteKind]int
 	lastExplanation string // latest explanation of a waiting step
 	capacity        *dispatch.CapacityReport
+	admission       *dispatch.Admission            // the last one
 	onCapacity      func(*dispatch.CapacityReport) // called with each report; nil means none
 	callCount       int
 	appliedEvents   int
@@ -426,6 +427,9 @@
 			sim.applyTo(l, e)
 		}
 	}
+	if effects.Admission != nil {
+		sim.admission = effects.Admission
+	}
 	if effects.Capacity != nil {
 		sim.capacity = effects.Capacity
 		if sim.onCapacity != nil {
--- a/instance/effects.go
+++ b/instance/effects.go
@@ -34,6 +34,9 @@
 	if e.Capacity != nil {
 		l.shard.logCapacity(e.Capacity, time.Now())
 	}
+	if e.Admission != nil {
+		l.announceAdmission(e.Admission)
+	}
 	if l.released.Load() || l.ctx.Err() != nil {
 		return
 	}
@@ -195,6 +198,7 @@
 	dispatch.NoteStepOverdue:            logevent.StepOverdue,
 	dispatch.NoteTenantAtQuota:          logevent.TenantAtQuota,
 	dispatch.NoteStepAboveQuota:         logevent.StepAboveQuota,
+	dispatch.NoteShareExceeded:          logevent.ShareExceeded,
 }
 
 func (i *Instance) counter(name string) metrics.Counter {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -35,6 +35,7 @@
 	"fuchsiacross/platform/client"
 	"fuchsiacross/platform/runner"
 	"fuchsiacross/platform/store"
+	"fuchsiacross/share"
 	"fuchsiacross/storehealth"
 )
 
@@ -66,6 +67,7 @@
 	shardTable         atomic.Pointer[shardTable]
 	shardsKnown        chan struct{} // closed when the map of shards is known
 	storeHealth        storehealth.Health
+	gate               *share.Gate // refuses jobs beyond their tenants' shares
 	stopping           atomic.Bool
 
 	mu                sync.Mutex // also guards the mutable fields of the shards
@@ -88,7 +90,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	i := &Instance{
 		settings: s, incarnation: time.Now().UnixMicro(), log: log, metrics: metrics.NewRegistry(), dropped: dropped,
-		store: store.New(s.StoreAddress), runner: runner.New(),
+		store: store.New(s.StoreAddress), runner: runner.New(), gate: share.NewGate(),
 		configurationKnown: make(chan struct{}), shardsKnown: make(chan struct{}), pendingRequests: map[int64]chan link.Message{},
 		ctx: ctx, cancel: cancel,
 	}
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -67,6 +67,7 @@
 	allConfirmedAt       time.Time     // last confirmation to all instances
 	lastWriteTime        time.Duration // duration of the last write to the store
 	resigning            bool
+	admission            *dispatch.Admission // the last one; nil without tenants
 
 	load leaderLoad // of the control goroutine, which alone uses it
 }
@@ -300,6 +301,7 @@
 		if m.conn != nil && (all || l.shard.preferenceDistance(name) == 0) {
 			rank, _ := slices.BinarySearchFunc(order, m, compareSuccessors)
 			m.conn.Send(l.confirmationMessage(int64(rank)))
+			l.sendAdmission(m.conn)
 		}
 	}
 }
--- a/instance/member.go
+++ b/instance/member.go
@@ -12,6 +12,7 @@
 	"fuchsiacross/link"
 	"fuchsiacross/logevent"
 	"fuchsiacross/platform/store"
+	"fuchsiacross/share"
 )
 
 const (
@@ -91,7 +92,7 @@
 // handleLeaderMessage handles a message from a leader.
 func (i *Instance) handleLeaderMessage(c *link.Conn, m link.Message) {
 	switch m.Kind {
-	case link.KindHello, link.KindLeadershipConfirmed, link.KindLeadershipReleased:
+	case link.KindHello, link.KindLeadershipConfirmed, link.KindLeadershipReleased, link.KindAdmission:
 		i.handleLeadershipMessage(c, m)
 	case link.KindAdviceRequest:
 		go i.handleAdviceRequest(c, m)
@@ -129,6 +130,13 @@
 			s.leaderHeardAt, s.successionRank, s.leaderWriteTime = now, m.Count, m.WriteDuration
 		}
 		i.mu.Unlock()
+	case link.KindAdmission:
+		i.mu.Lock()
+		isLeader := s.leaderConn == c
+		i.mu.Unlock()
+		if isLeader {
+			i.gate.Announce(s.number, share.Announcement{Refusals: m.Refusals, Instances: int(m.Count), At: now})
+		}
 	case link.KindLeadershipReleased:
 		i.mu.Lock()
 		if s.leaderConn == c {
--- a/instance/tenantquota.go
+++ b/instance/tenantquota.go
@@ -3,12 +3,15 @@
 import (
 	"time"
 
+	"fuchsiacross/dispatch"
 	"fuchsiacross/job"
+	"fuchsiacross/link"
 	"fuchsiacross/quota"
+	"fuchsiacross/share"
 )
 
-// refuseForTenant returns the refusal of a new job that its tenant's quota never lets run. It
-// writes nothing.
+// refuseForTenant returns the refusal of a new job that its tenant's quota never lets run, or that
+// is beyond its tenant's share while such work has been waiting. It writes nothing.
 func (s *shard) refuseForTenant(deadline time.Time, j *job.Job) (job.Response, bool) {
 	c := s.instance.configuration.Load()
 	if j.Tenant == "" || c == nil {
@@ -22,6 +25,11 @@
 			return s.refuseUnlessStored(deadline, j.ID, job.Response{Outcome: job.OutcomeOverload, Reason: reason}, "quota")
 		}
 	}
+	if wait, refused := s.instance.gate.Refuse(time.Now(), c, j.Tenant, s.number); refused {
+		return s.refuseUnlessStored(deadline, j.ID, job.Response{
+			Outcome: job.OutcomeOverload, Reason: "the tenant is beyond its share and has work waiting", RetryAfter: wait,
+		}, "share")
+	}
 	return job.Response{}, false
 }
 
@@ -34,3 +42,33 @@
 	s.instance.counter("submit.refused." + cause).Inc(1)
 	return refusal, true
 }
+
+// announceAdmission keeps what instances are to refuse, and applies it at this one.
+func (l *leadership) announceAdmission(a *dispatch.Admission) {
+	l.mu.Lock()
+	l.admission = a
+	instances := l.takingJobs()
+	l.mu.Unlock()
+	l.instance.gate.Announce(l.shard.number, share.Announcement{Refusals: a.Refusals, Instances: instances, At: time.Now()})
+}
+
+// takingJobs returns the number of instances that take jobs: this one and the linked ones. The
+// caller holds the mutex.
+func (l *leadership) takingJobs() int {
+	n := 1
+	for _, m := range l.members {
+		if m.conn != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// sendAdmission sends what a linked instance is to refuse. The caller holds the mutex.
+func (l *leadership) sendAdmission(c *link.Conn) {
+	if l.admission != nil {
+		c.Send(link.Message{
+			Kind: link.KindAdmission, Shard: l.shard.number, Token: l.token, Count: int64(l.takingJobs()), Refusals: l.admission.Refusals,
+		})
+	}
+}
--- a/instance/tenantquota_test.go
+++ b/instance/tenantquota_test.go
@@ -7,8 +7,10 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"fuchsiacross/dispatch"
 	"fuchsiacross/job"
 	"fuchsiacross/model"
+	"fuchsiacross/share"
 )
 
 // withTenants puts a configuration with tenants in force at an instance.
@@ -47,4 +49,26 @@
 		_, refused = i.shards()[0].refuseForTenant(time.Now().Add(time.Second), gangOf(2, 5, "a"))
 		Expect(refused).To(BeFalse(), "nobody tells whether the job is stored")
 	})
+
+	// Other instances than the leader must refuse too, and know how long to ask clients to wait.
+	It("is refused at every instance while work beyond its tenant's share waits", func() {
+		s := newTestCluster(3, 1, 50*time.Millisecond)
+		for _, i := range s.instances {
+			withTenants(i, job.Tenant{Name: "a", Weight: 3})
+		}
+		s.currentLeader().shards()[0].currentLeadership().announceAdmission(&dispatch.Admission{
+			Refusals: []share.Refusal{{Tenant: "a", Wait: 2500 * time.Millisecond}},
+		})
+		for n, i := range s.instances {
+			submit := func() job.Response {
+				response, _ := i.shards()[0].refuseForTenant(time.Now().Add(time.Second), gangOf(10+n, 1, "a"))
+				return response
+			}
+			Eventually(submit, "1500ms", "20ms").Should(Equal(job.Response{
+				Outcome: job.OutcomeOverload, Reason: "the tenant is beyond its share and has work waiting", RetryAfter: 2500 * time.Millisecond,
+			}))
+			_, refused := i.shards()[0].refuseForTenant(time.Now().Add(time.Second), gangOf(20, 1, ""))
+			Expect(refused).To(BeFalse())
+		}
+	})
 })
--- a/link/link.go
+++ b/link/link.go
@@ -26,6 +26,7 @@
 	"github.com/go-faster/errors"
 
 	"fuchsiacross/job"
+	"fuchsiacross/share"
 )
 
 const (
@@ -67,6 +68,11 @@
 	KindProcessorShare                           // instance: the processor time that is available to it
 )
 
+// KindAdmission is sent by the leader with its confirmations, if the configuration has tenants: the
+// tenants whose jobs beyond their share are to be refused, and in Count the number of instances.
+// 18 and 19 are the kinds of requests for the configuration.
+const KindAdmission Kind = 20
+
 // Message is a message between a leader and an instance. Its kind determines which
 // fields are set.
 type Message struct {
@@ -85,33 +91,40 @@
 	Workers        []job.WorkerID
 	Tickets        []job.Ticket
 	Error          string
-	Outcome        job.Outcome   // of a KindStoreResponse
-	ProcessorShare float64       // processor time that the instance has for the shard; 1 is one processor at full speed
-	Version        int64         // of the row of a stored job, or of the released leader row
-	WriteDuration  time.Duration // of the leader's last write to the store; milliseconds on the wire
+	Outcome        job.Outcome     // of a KindStoreResponse
+	ProcessorShare float64         // processor time that the instance has for the shard; 1 is one processor at full speed
+	Version        int64           // of the row of a stored job, or of the released leader row
+	WriteDuration  time.Duration   // of the leader's last write to the store; milliseconds on the wire
+	Refusals       []share.Refusal // of a KindAdmission; milliseconds on the wire
 }
 
 type wireMessage struct {
-	Kind              int         `cbor:"1,keyasint"`
-	Number            int64       `cbor:"2,keyasint,omitempty"`
-	Name              string      `cbor:"3,keyasint,omitempty"`
-	Token             int64       `cbor:"4,keyasint,omitempty"`
-	Job               string      `cbor:"6,keyasint,omitempty"`
-	Queue             string      `cbor:"7,keyasint,omitempty"`
-	State             string      `cbor:"8,keyasint,omitempty"`
-	Known             bool        `cbor:"9,keyasint,omitempty"`
-	Count             int64       `cbor:"10,keyasint,omitempty"`
-	Data              []byte      `cbor:"11,keyasint,omitempty"`
-	Occurrence        int64       `cbor:"12,keyasint,omitempty"`
-	Step              int         `cbor:"13,keyasint,omitempty"`
-	Workers           []string    `cbor:"14,keyasint,omitempty"`
-	Tickets           [][2]string `cbor:"15,keyasint,omitempty"`
-	Error             string      `cbor:"16,keyasint,omitempty"`
-	Outcome           string      `cbor:"17,keyasint,omitempty"`
-	Version           int64       `cbor:"18,keyasint,omitempty"`
-	ProcessorShare    float64     `cbor:"19,keyasint,omitempty"`
-	Shard             int         `cbor:"20,keyasint,omitempty"`
-	WriteMilliseconds int64       `cbor:"21,keyasint,omitempty"`
+	Kind              int           `cbor:"1,keyasint"`
+	Number            int64         `cbor:"2,keyasint,omitempty"`
+	Name              string        `cbor:"3,keyasint,omitempty"`
+	Token             int64         `cbor:"4,keyasint,omitempty"`
+	Job               string        `cbor:"6,keyasint,omitempty"`
+	Queue             string        `cbor:"7,keyasint,omitempty"`
+	State             string        `cbor:"8,keyasint,omitempty"`
+	Known             bool          `cbor:"9,keyasint,omitempty"`
+	Count             int64         `cbor:"10,keyasint,omitempty"`
+	Data              []byte        `cbor:"11,keyasint,omitempty"`
+	Occurrence        int64         `cbor:"12,keyasint,omitempty"`
+	Step              int           `cbor:"13,keyasint,omitempty"`
+	Workers           []string      `cbor:"14,keyasint,omitempty"`
+	Tickets           [][2]string   `cbor:"15,keyasint,omitempty"`
+	Error             string        `cbor:"16,keyasint,omitempty"`
+	Outcome           string        `cbor:"17,keyasint,omitempty"`
+	Version           int64         `cbor:"18,keyasint,omitempty"`
+	ProcessorShare    float64       `cbor:"19,keyasint,omitempty"`
+	Shard             int           `cbor:"20,keyasint,omitempty"`
+	WriteMilliseconds int64         `cbor:"21,keyasint,omitempty"`
+	Refusals          []wireRefusal `cbor:"30,keyasint,omitempty"`
+}
+
+type wireRefusal struct {
+	Tenant           string `cbor:"1,keyasint"`
+	WaitMilliseconds int64  `cbor:"2,keyasint"`
 }
 
 func toWire(m *Message) wireMessage {
@@ -126,6 +139,9 @@
 	for _, id := range m.Workers {
 		w.Workers = append(w.Workers, string(id))
 	}
+	for _, r := range m.Refusals {
+		w.Refusals = append(w.Refusals, wireRefusal{r.Tenant, r.Wait.Milliseconds()})
+	}
 	for _, t := range m.Tickets {
 		w.Tickets = append(w.Tickets, [2]string{string(t.Worker), t.Value})
 	}
@@ -142,6 +158,9 @@
 	for _, id := range w.Workers {
 		m.Workers = append(m.Workers, job.WorkerID(id))
 	}
+	for _, r := range w.Refusals {
+		m.Refusals = append(m.Refusals, share.Refusal{Tenant: r.Tenant, Wait: time.Duration(r.WaitMilliseconds) * time.Millisecond})
+	}
 	for _, t := range w.Tickets {
 		m.Tickets = append(m.Tickets, job.Ticket{Worker: job.WorkerID(t[0]), Value: t[1]})
 	}
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"fuchsiacross/link"
+	"fuchsiacross/share"
 )
 
 func TestLink(t *testing.T) {
@@ -61,6 +62,18 @@
 		Expect(got.Version).To(BeEquivalentTo(9))
 	})
 
+	// The same for the tenants whose jobs are to be refused.
+	It("carries refusals", func(ctx SpecContext) {
+		p := openPair(ctx)
+		refusals := []share.Refusal{{Tenant: "a", Wait: 1500 * time.Millisecond}, {Tenant: "b", Wait: time.Second}}
+		p.dialled.Send(link.Message{Kind: link.KindAdmission, Count: 5, Refusals: refusals})
+		var got link.Message
+		Eventually(p.received).Should(Receive(&got))
+		Expect(got.Kind).To(Equal(link.KindAdmission))
+		Expect(got.Count).To(BeEquivalentTo(5))
+		Expect(got.Refusals).To(Equal(refusals))
+	})
+
 	// If the heartbeat interval of one end exceeded the timeout of the other, every
 	// connection to an instance of another shard would be closed.
 	It("stays open without messages, with and without extended timeouts", func(ctx SpecContext) {
