quota, instance: metrics of tenants

Cause: an operator cannot see whether a tenant waits for its quota, its share or for capacity.

Change: the report on a shard's capacity lists for each tenant its use, its limit, waiting steps, those beyond the share, and how often steps were skipped for the quota. Gauges show the 32 tenants that use the most processors, and the rest as 'other'; they are removed with the tenant or the term.

Result: go test ./quota ./instance ./dispatch pass, with the new tests TestReportIsBounded and 'is shown for each tenant while it is listed'.

--- a/dispatch/capacity.go
+++ b/dispatch/capacity.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"fuchsiacross/job"
+	"fuchsiacross/quota"
 )
 
 // capacityReportInterval is the time between two reports on the capacity of a shard.
@@ -24,6 +25,8 @@
 	// PassedOverSince. PassedOverSince is zero if there is none.
 	PassedOver      job.StepID
 	PassedOverSince time.Time
+	// Tenants has the tenants of the configuration and those with jobs; nil without tenants.
+	Tenants []quota.Account
 }
 
 // Reservation is the capacity that is reserved for a blocked step.
@@ -86,5 +89,6 @@
 			report.PassedOver, report.PassedOverSince = s.id, since
 		}
 	}
+	report.Tenants = r.reportTenants()
 	r.effects.Capacity = report
 }
--- a/dispatch/tenantquota.go
+++ b/dispatch/tenantquota.go
@@ -69,3 +69,14 @@
 // waitsForQuota reports whether a step needs no advice before its tenant's use has fallen. The time
 // until the workers are read is too short for a call to wait for it.
 func (r *Reducer) waitsForQuota(s *stepState) bool { return s.atQuota && r.quota.Hidden().IsZero() }
+
+// reportTenants returns what each tenant uses and has waiting.
+func (r *Reducer) reportTenants() []quota.Account {
+	if !r.shares.Active() {
+		return nil
+	}
+	for s := range r.waitingSteps {
+		r.quota.CountWaiting(s.job.job.Tenant, s.job.beyondShare)
+	}
+	return r.quota.Report()
+}
--- a/instance/capacity.go
+++ b/instance/capacity.go
@@ -41,6 +41,7 @@
 		fields = append(fields, zap.String("detail", describeReservations(c.Reservations, now)))
 	}
 	logevent.ShardCapacity.Log(s.log, fields...)
+	s.updateTenantMetrics(c.Tenants)
 }
 
 // describeReservations tells for each reservation the step, what is reserved, since when and
@@ -62,6 +63,7 @@
 	for _, name := range capacityGauges {
 		s.instance.metrics.Unregister(s.capacityGaugeName(name))
 	}
+	s.updateTenantMetrics(nil)
 }
 
 func (s *shard) capacityGaugeName(name string) string {
--- a/instance/capacity_test.go
+++ b/instance/capacity_test.go
@@ -13,6 +13,8 @@
 	"fuchsiacross/dispatch"
 	"fuchsiacross/job"
 	"fuchsiacross/logevent"
+	"fuchsiacross/model"
+	"fuchsiacross/quota"
 )
 
 var _ = Describe("The capacity of a shard", func() {
@@ -38,4 +40,25 @@
 		s.clearCapacity()
 		Expect(s.instance.metrics.Get("capacity.1.reserved_millicpu")).To(BeNil())
 	})
+
+	// Gauges of tenants that are gone, or of a term that has ended, would show work that runs
+	// nowhere.
+	It("is shown for each tenant while it is listed", func() {
+		s := &shard{instance: &Instance{metrics: metrics.NewRegistry()}, log: zap.NewNop()}
+		use := func(tenant string) *dispatch.CapacityReport {
+			return &dispatch.CapacityReport{Tenants: []quota.Account{{
+				Tenant: tenant, Used: model.Resources{MilliCPU: 3000}, Limit: quota.Part(model.Resources{MilliCPU: 4000}, 0, 1), Skipped: 2, BeyondShare: 1,
+			}}}
+		}
+		value := func(name string) any { return s.instance.metrics.Get("tenant.0." + name) }
+		s.logCapacity(use("a"), time.Now())
+		Expect(value("a.used_millicpu").(metrics.Gauge).Value()).To(Equal(int64(3000)))
+		Expect(value("a.limit_millicpu").(metrics.Gauge).Value()).To(Equal(int64(4000)))
+		Expect(value("a.skipped_for_quota").(metrics.Gauge).Value()).To(Equal(int64(2)))
+		s.logCapacity(use("b"), time.Now())
+		Expect(value("a.used_millicpu")).To(BeNil())
+		Expect(value("b.beyond_share").(metrics.Gauge).Value()).To(Equal(int64(1)))
+		s.clearCapacity()
+		Expect(value("b.beyond_share")).To(BeNil())
+	})
 })
--- a/instance/shard.go
+++ b/instance/shard.go
@@ -41,6 +41,8 @@
 	number   int
 	jobs     *jobstore.Store
 	log      *zap.Logger // has the field shard if there are several shards
+	// tenantGauges are the names of the tenants' gauges; only the goroutine of the term uses them.
+	tenantGauges map[string]struct{}
 
 	ownLeadership   *leadership    // nil unless this instance leads
 	leaderConn      *link.Conn     // link to the leader; nil unless another instance leads
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"fuchsiacross/job"
@@ -22,6 +21,8 @@
 	limit     model.Resources // this leader's part
 	limited   bool
 	skipped   int64     // steps that were skipped since the last report
+	waiting   int64     // steps that CountWaiting has counted since the last report
+	beyond    int64     // of these, the ones beyond the tenant's share
 	turn      *Turn     // of the step that others of the tenant give way to; nil if there is none
 	reachedAt time.Time // when its reaching the quota was last reported; zero before
 }
@@ -171,26 +172,3 @@
 	}
 	return ""
 }
-
-// Account is what a report says about one tenant.
-type Account struct {
-	Tenant      string
-	Used, Limit model.Resources // a dimension without a limit is math.MaxInt64
-	Skipped     int64           // steps that were skipped for the quota since the last report
-}
-
-// Report returns the accounts in the order of the tenants' names and resets the skipped counts.
-func (l *Ledger) Report() []Account {
-	list := make([]Account, 0, len(l.accounts))
-	for name, a := range l.accounts {
-		list = append(list, Account{Tenant: name, Used: a.used, Limit: a.limit, Skipped: a.skipped})
-		a.skipped = 0
-	}
-	slices.SortFunc(list, func(a, b Account) int {
-		if a.Tenant < b.Tenant {
-			return -1
-		}
-		return 1
-	})
-	return list
-}
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -124,6 +124,25 @@
 	g.Expect(l.Report()[0].Skipped).To(Equal(int64(0)))
 }
 
+// Guards against metrics that grow with the number of tenants.
+func TestReportIsBounded(t *testing.T) {
+	g := NewWithT(t)
+	l := quota.NewLedger()
+	for n, tenant := range []string{"a", "b", "c", "d"} {
+		l.Charge(tenant, milliCPU(int64(n)))
+		l.CountWaiting(tenant, n%2 == 0)
+	}
+	l.CountWaiting("", true)
+	bound := quota.Bound(l.Report(), 2)
+	g.Expect(bound).To(HaveLen(3))
+	g.Expect(bound[0].Tenant).To(Equal("d"))
+	g.Expect(bound[1].Tenant).To(Equal("c"))
+	g.Expect(bound[2]).To(Equal(quota.Account{
+		Tenant: quota.OtherTenants, Used: milliCPU(1), Limit: quota.Part(model.Resources{}, 0, 1), WaitingSteps: 2, BeyondShare: 1,
+	}))
+	g.Expect(l.Report()[0].WaitingSteps).To(Equal(int64(0)))
+}
+
 // Guards against two steps that give way to each other, and against work beyond the share that holds
 // up work within it.
 func TestOneStepOfATenantHasTheTurn(t *testing.T) {
