dispatch: do not take another tenant's offer for the accepted job

Cause: two tenants may submit the same ID with the same definition. The state of the offer that was refused was used for the accepted job, so that its runs were charged to the wrong tenant.

Change: an offer counts only if its tenant is that of the accepted job.

Result: TestOfferOfAnotherTenantIsNotTheAcceptedJob passes and fails without the change; go test ./dispatch and go test ./instance pass.

--- a/dispatch/accept.go
+++ b/dispatch/accept.go
@@ -87,7 +87,7 @@
 		return
 	}
 	s := r.offers[j.ID]
-	if s == nil || !reflect.DeepEqual(s.job.Definition, j.Definition) {
+	if s == nil || s.job.Tenant != j.Tenant || !reflect.DeepEqual(s.job.Definition, j.Definition) {
 		r.dropOffer(j.ID)
 		s = r.newJobState(j)
 	}
--- a/dispatch/tenantquota_test.go
+++ b/dispatch/tenantquota_test.go
@@ -146,3 +146,14 @@
 	}
 	g.Expect(sim.violations).To(BeEmpty())
 }
+
+// Guards against a job that is charged to a tenant whose submission of the same ID was refused.
+func TestOfferOfAnotherTenantIsNotTheAcceptedJob(t *testing.T) {
+	g := NewWithT(t)
+	sim := newTenants(demand(4, 0))
+	offered, stored := tenantJob(1, "b", 2, false), tenantJob(1, "a", 2, false)
+	sim.apply(dispatch.JobOffered{Job: offered})
+	sim.submit(stored)
+	sim.advance(time.Second)
+	g.Expect(sim.runningTasks(id(1))).To(Equal(1), "the quota of a allows one task")
+}
