dispatch: keep the turn within a quota until the step starts

Cause: a gang that had the turn of its tenant lost it as soon as its quota had room, also if the workers had not. Small tasks of the tenant took the quota again, and the gang waited for another objective, without bound.

Change: the time from which a quota holds a step back is forgotten when tasks of the step start, not when the quota has room.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -133,7 +133,7 @@
 	moveCount         int           // how often runs were moved off slow workers
 	lengths           lengths
 	rackBlockedSince  time.Time // from when on no rack has had capacity for its tasks; zero before
-	quotaHeldSince    time.Time // from when on its tenant's quota has held it back; zero if it does not
+	quotaHeldSince    time.Time // when its tenant's quota first held it back since its last start; zero if it has not
 	atQuota           bool      // the last pass skipped it because of its tenant's quota
 	aboveQuota        bool      // it was logged that it can never run within its tenant's quota
 }
--- a/dispatch/passedover.go
+++ b/dispatch/passedover.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // overdueFraction of the capacity goes to overdue steps. A step that needs more is served alone.
 const overdueFraction = 0.05
@@ -13,8 +16,9 @@
 	}
 }
 
-// recordStart records that tasks of a step were started, for notePassedOver.
+// recordStart records that tasks of a step were started, for notePassedOver and giveTurns.
 func (r *Reducer) recordStart(s *stepState) {
+	s.quotaHeldSince = time.Time{}
 	if s.job.queue.Priority > urgentPriority && s.openedAt.After(r.latestStartedOpening) {
 		r.latestStartedOpening = s.openedAt
 	}
--- a/dispatch/tenantquota.go
+++ b/dispatch/tenantquota.go
@@ -17,7 +17,7 @@
 }
 
 // giveTurns chooses, for each tenant at its quota, the step that the others of the tenant give way
-// to: one that the quota has held back for as long as a step may be passed over.
+// to until it starts: one that the quota has held back for as long as a step may be passed over.
 func (r *Reducer) giveTurns(list []candidate) {
 	if !r.quota.Limited() {
 		return
@@ -42,7 +42,6 @@
 	}
 	s.atQuota = admitted < missing && (admitted == 0 || s.step.Gang)
 	if !s.atQuota {
-		s.quotaHeldSince = time.Time{}
 		return admitted
 	}
 	if s.quotaHeldSince.IsZero() {
--- a/dispatch/tenantquota_test.go
+++ b/dispatch/tenantquota_test.go
@@ -157,3 +157,29 @@
 	sim.advance(time.Second)
 	g.Expect(sim.runningTasks(id(1))).To(Equal(1), "the quota of a allows one task")
 }
+
+// Guards against a gang that loses its turn while the quota has room for it but the workers have not.
+func TestGangKeepsItsTurnUntilItStarts(t *testing.T) {
+	g := NewWithT(t)
+	sim := newTenants(demand(32, 0))
+	gang := newJob(1, "plain", job.Step{Tasks: 8, Gang: true, Demand: demand(4, 1), EstimateMilliseconds: 2000})
+	gang.Tenant = "a"
+	n := 2
+	flow := func(tenant string, interval time.Duration) {
+		for at := time.Duration(0); at < 60*time.Second; at += interval {
+			small := newJob(n, "plain", job.Step{Tasks: 1, Demand: demand(4, 1), EstimateMilliseconds: 2000})
+			small.Tenant = tenant
+			sim.schedule(at, func() { sim.submit(small) })
+			n++
+		}
+	}
+	flow("a", 200*time.Millisecond)
+	flow("b", 150*time.Millisecond)
+	sim.advance(5 * time.Second)
+	sim.submit(gang)
+	// Its objective is 4.5 s. It waits for its turn within the quota, and then for the turns of the
+	// steps of the other tenant that have been passed over.
+	sim.advance(30 * time.Second)
+	g.Expect(sim.completedAt[id(1)].IsZero() && sim.runningTasks(id(1)) == 0).To(BeFalse(), "it has not started")
+	g.Expect(sim.violations).To(BeEmpty())
+}
