--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -131,6 +131,9 @@
 	Removals []job.ID
 	// Capacity reports where the capacity of the shard is; nil except every few seconds.
 	Capacity *CapacityReport
+	// Admission tells which tenants' jobs instances are to refuse; nil except every
+	// admissionInterval, and always without tenants.
+	Admission *Admission
 	// Notes lists decisions and observations for the log.
 	Notes []Note
 	// LeadershipLost is set when a worker has seen a higher token.
@@ -243,6 +246,9 @@
 	NoteProgressRejected
 	NoteRunAdopted
 	NoteStepOverdue
+	NoteTenantAtQuota
+	NoteStepAboveQuota
+	NoteShareExceeded
 	// NoteKindCount is the number of kinds.
 	NoteKindCount
 )
--- a/dispatch/formerleader_random_test.go
+++ b/dispatch/formerleader_random_test.go
@@ -30,6 +30,10 @@
 	crossOrders bool
 	// keepLeader plays no faults that replace the leader.
 	keepLeader bool
+	// submitters are the tenants whose jobs are submitted in turn; none means jobs without a tenant.
+	submitters []string
+	// recovery is how long the jobs have to complete once the faults have ended.
+	recovery time.Duration
 }
 
 const (
@@ -46,7 +50,7 @@
 	f := &formerLeaderFaults{
 		simulation: newSimulation(6, 16, q), random: rand.New(rand.NewPCG(seed, 27)),
 		cut: map[job.WorkerID]bool{}, lastOrderAt: map[job.WorkerID]time.Time{},
-		cutOffAt: map[*leader]time.Time{},
+		cutOffAt: map[*leader]time.Time{}, recovery: healDuration,
 	}
 	for n := range 6 {
 		f.ids = append(f.ids, job.WorkerID(fmt.Sprintf("w%02d", n)))
@@ -268,6 +272,9 @@
 		steps = append(steps, newStep())
 	}
 	j := newJob(n, f.queues[0].Name, steps...)
+	if len(f.submitters) > 0 {
+		j.Tenant = f.submitters[n%len(f.submitters)]
+	}
 	if f.random.IntN(4) == 0 {
 		j.Definition.Occurrences = 1 + f.random.Int64N(3)
 		j.Definition.FirstDueMilliseconds = f.now.Add(f.between(0, 5*time.Second)).UnixMilli()
@@ -308,7 +315,7 @@
 	f.schedule(time.Second, f.playFault)
 	f.advance(faultDuration)
 	f.heal()
-	f.advance(healDuration)
+	f.advance(f.recovery)
 }
 
 // Random faults, with former leaders beside their successors.
@@ -336,6 +343,19 @@
 	})
 }
 
+// Starts above a tenant's quota beside runs that the leader does not know: of former leaders, on
+// workers that are cut off or restart, and of starts that are executed late.
+func TestRandomFaultsWithQuotas(t *testing.T) {
+	playRandomFaults(t, func(seed uint64) *formerLeaderFaults {
+		f := newFormerLeaderFaults(seed, plain)
+		// A gang of four tasks of eight processors fits the smallest limit exactly.
+		f.setTenants(job.Tenant{Name: "a", Limit: demand(32, 0)}, job.Tenant{Name: "b", Limit: demand(40, 8)}, job.Tenant{Name: "c"})
+		f.submitters = []string{"a", "b", "a", "c", ""}
+		f.recovery = 2 * healDuration // a third of the workers serves most of the jobs of a
+		return f
+	})
+}
+
 func playRandomFaults(t *testing.T, newFaults func(seed uint64) *formerLeaderFaults) {
 	const seeds, jobs = 120, 24
 	for seed := range uint64(seeds) {
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -26,6 +26,7 @@
 	remainingTimes       []time.Duration       // expected time from the start of each step to the end of the job
 	forecast             *forecast             // of the job's queue
 	offeredAt            time.Time             // zero once the job is stored
+	beyondShare          bool                  // its tenant had used up its share when it was accepted
 	planVersion          int                   // version of the forecast that the plan uses
 }
 
@@ -132,6 +133,9 @@
 	moveCount         int           // how often runs were moved off slow workers
 	lengths           lengths
 	rackBlockedSince  time.Time // from when on no rack has had capacity for its tasks; zero before
+	quotaHeldSince    time.Time // when its tenant's quota first held it back since its last start; zero if it has not
+	atQuota           bool      // the last pass skipped it because of its tenant's quota
+	aboveQuota        bool      // it was logged that it can never run within its tenant's quota
 }
 
 // recordCheckpoint stores the checkpoint of a run. The checkpoint of any member is valid for
--- a/dispatch/passedover.go
+++ b/dispatch/passedover.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // overdueFraction of the capacity goes to overdue steps. A step that needs more is served alone.
 const overdueFraction = 0.05
@@ -8,13 +11,14 @@
 // notePassedOver records that steps which opened later were started while a step was blocked.
 // Urgent steps do not count: they go before all others.
 func (r *Reducer) notePassedOver(s *stepState) {
-	if s.passedOverSince.IsZero() && r.latestStartedOpening.After(s.openedAt) {
+	if !s.job.beyondShare && s.passedOverSince.IsZero() && r.latestStartedOpening.After(s.openedAt) {
 		s.passedOverSince = r.now
 	}
 }
 
-// recordStart records that tasks of a step were started, for notePassedOver.
+// recordStart records that tasks of a step were started, for notePassedOver and giveTurns.
 func (r *Reducer) recordStart(s *stepState) {
+	s.quotaHeldSince = time.Time{}
 	if s.job.queue.Priority > urgentPriority && s.openedAt.After(r.latestStartedOpening) {
 		r.latestStartedOpening = s.openedAt
 	}
@@ -31,7 +35,7 @@
 func (r *Reducer) promoteOverdue(list []candidate) {
 	var overdue []*candidate
 	for i := range list {
-		if c := &list[i]; !c.isUrgentInTime() && r.isOverdue(c.step) {
+		if c := &list[i]; !c.isUrgentInTime() && !c.beyond && r.isOverdue(c.step) {
 			overdue = append(overdue, c)
 		}
 	}
--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -27,6 +27,8 @@
 	"time"
 
 	"fuchsiacross/job"
+	"fuchsiacross/quota"
+	"fuchsiacross/share"
 )
 
 const (
@@ -77,6 +79,8 @@
 	MaxPendingStarts int
 	// LeaderCount is the number of leaders that share the store; zero counts as one.
 	LeaderCount int
+	// Shard is the number of the shard, below LeaderCount.
+	Shard int
 	// MaxRowBytes is the largest value of a row that the store accepts; zero means no limit.
 	MaxRowBytes int
 	Policy      Policy
@@ -97,6 +101,7 @@
 	stopTimeoutMilliseconds int64
 	retentionSeconds        int64
 	leaderCount             int
+	shard                   int
 	maxPartBytes            int // of the parts into which progress is divided
 	token                   int64
 	nextRun                 int64
@@ -141,6 +146,8 @@
 	// urgent ones.
 	latestStartedOpening time.Time
 	lastCapacityReportAt time.Time
+	lastAdmissionAt      time.Time
+	refusedTenants       map[string]bool // of the last Admission
 	lastSweepAt          time.Time
 	lastReadScanAt       time.Time
 
@@ -153,6 +160,8 @@
 
 	starts startWindow
 	advice advisor
+	quota  *quota.Ledger
+	shares *share.Meter
 
 	now     time.Time
 	effects Effects
@@ -162,7 +171,7 @@
 func New(o Options) *Reducer {
 	r := &Reducer{
 		policy: o.Policy, maxHoldMilliseconds: o.MaxHoldMilliseconds,
-		stopTimeoutMilliseconds: o.StopTimeoutMilliseconds, retentionSeconds: o.RetentionSeconds, leaderCount: o.LeaderCount,
+		stopTimeoutMilliseconds: o.StopTimeoutMilliseconds, retentionSeconds: o.RetentionSeconds, leaderCount: o.LeaderCount, shard: o.Shard,
 		maxPartBytes: maxPartBytes(o.MaxRowBytes), maxSavedJobs: maxSaveEntries,
 		token:              o.Token,
 		nextRun:            o.Token * runNumbersPerToken,
@@ -181,6 +190,8 @@
 		firstLeader:        o.FirstLeader,
 		starts:             newStartWindow(o.MaxPendingStarts),
 		advice:             newAdvisor(),
+		quota:              quota.NewLedger(),
+		shares:             share.NewMeter(o.LeaderCount),
 	}
 	if !o.FirstLeader {
 		r.predecessorSuspectedAt = o.PredecessorSuspectedAt
@@ -292,6 +303,8 @@
 	for _, q := range c.Queues {
 		r.queues[q.Name] = q
 	}
+	r.quota.Configure(c.Tenants, r.shard, r.leaderCount)
+	r.shares.Configure(c.Tenants)
 	for _, j := range r.jobs {
 		if q, ok := r.queues[j.job.Queue]; ok {
 			j.plan(q)
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -67,6 +67,7 @@
 	allConfirmedAt       time.Time     // last confirmation to all instances
 	lastWriteTime        time.Duration // duration of the last write to the store
 	resigning            bool
+	admission            *dispatch.Admission // the last one; nil without tenants
 
 	load leaderLoad // of the control goroutine, which alone uses it
 }
@@ -98,7 +99,7 @@
 		Token: l.token, ClaimedAt: claimedAt, PredecessorSuspectedAt: claimedAt, FirstLeader: previousVersion == 0,
 		ClaimVersion: version, PredecessorVersion: previousVersion,
 		MaxHoldMilliseconds: i.settings.MaxHoldMilliseconds, StopTimeoutMilliseconds: i.settings.StopTimeoutMilliseconds,
-		RetentionSeconds: i.settings.RetentionSeconds, LeaderCount: s.table.shardMap.Shards,
+		RetentionSeconds: i.settings.RetentionSeconds, LeaderCount: s.table.shardMap.Shards, Shard: s.number,
 		MaxRowBytes:      i.settings.MaxRowBytes,
 		MaxPendingStarts: max(minPendingStartsLimit, int(pendingStartsPerProcessor*s.availableProcessorShare())),
 	})
@@ -300,6 +301,7 @@
 		if m.conn != nil && (all || l.shard.preferenceDistance(name) == 0) {
 			rank, _ := slices.BinarySearchFunc(order, m, compareSuccessors)
 			m.conn.Send(l.confirmationMessage(int64(rank)))
+			l.sendAdmission(m.conn)
 		}
 	}
 }
--- a/instance/requests.go
+++ b/instance/requests.go
@@ -54,7 +54,11 @@
 func (i *Instance) storeSubmission(deadline time.Time, q job.Queue, tenant string, id job.ID, d job.Definition) job.Response {
 	now := time.Now()
 	s := i.shardOf(id)
-	encoded, err := jobstore.EncodeJob(job.Job{ID: id, Queue: q.Name, Pool: q.Pool, AcceptedAt: now, Definition: d, Tenant: tenant, Policy: &q})
+	accepted := job.Job{ID: id, Queue: q.Name, Pool: q.Pool, AcceptedAt: now, Definition: d, Tenant: tenant, Policy: &q}
+	if response, refused := s.refuseForTenant(deadline.Add(-answerMargin), &accepted); refused {
+		return response
+	}
+	encoded, err := jobstore.EncodeJob(accepted)
 	if err != nil {
 		return job.Response{Outcome: job.OutcomeMalformed, Reason: err.Error()}
 	}
--- a/logevent/list.go
+++ b/logevent/list.go
@@ -6,9 +6,9 @@
 var (
 	DaemonStarted        = Event{101, zapcore.InfoLevel, "daemon started", "The daemon has read its settings and listens on all addresses."}
 	StartFailed          = Event{103, zapcore.ErrorLevel, "start failed", "The process cannot listen on an address of its settings or cannot read a file. It exits with code 1."}
+	ControlEventsDelayed = Event{104, zapcore.WarnLevel, "control events delayed", "The control goroutine did not run for a long time, so events were delayed; the instance is overloaded or was paused."}
 	EffectUnhandled      = Event{105, zapcore.ErrorLevel, "effect without an adapter", "The reducer returned an effect that no adapter implements; this is a bug."}
 	ServerFailed         = Event{106, zapcore.ErrorLevel, "server failed", "A listener of the daemon failed; the instance no longer answers on that address."}
-	ControlEventsDelayed = Event{104, zapcore.WarnLevel, "control events delayed", "The control goroutine did not run for a long time, so events were delayed; the instance is overloaded or was paused."}
 	ShutdownStarted      = Event{110, zapcore.InfoLevel, "shutdown started", "The instance accepts no new requests and finishes or hands over its work."}
 	ShutdownFinished     = Event{111, zapcore.InfoLevel, "shutdown finished", "No request is in flight and all leases are released."}
 	ShutdownTimedOut     = Event{112, zapcore.WarnLevel, "shutdown timed out", "The timeout of the shutdown expired with requests in flight; their callers get the status from another instance."}
@@ -69,8 +69,8 @@
 	EditCommitted          = Event{602, zapcore.InfoLevel, "edit committed", "An edit of the document is committed with a new revision."}
 	EditRejected           = Event{603, zapcore.InfoLevel, "edit rejected", "An edit has findings or its section was changed by another edit in the meantime; nothing changed."}
 	EditUncertain          = Event{604, zapcore.WarnLevel, "edit uncertain", "The store's answer to an edit was lost, and its token cannot be resolved now, so it is not known whether the edit was committed."}
-	CredentialsReloaded    = Event{606, zapcore.InfoLevel, "credentials reloaded", "The credentials file has changed and its new content is in force."}
 	CredentialsNotReloaded = Event{605, zapcore.WarnLevel, "credentials not reloaded", "The credentials file cannot be reloaded; the previous credentials stay in force."}
+	CredentialsReloaded    = Event{606, zapcore.InfoLevel, "credentials reloaded", "The credentials file has changed and its new content is in force."}
 )
 
 // Events of the scheduler.
@@ -142,21 +142,21 @@
 	ConfigurationFromLeader = Event{878, zapcore.InfoLevel, "configuration from leader", "The store does not answer this instance, and a leader has passed it a newer configuration."}
 	KeysUnconfirmed         = Event{879, zapcore.WarnLevel, "keys unconfirmed", "Neither the store nor a leader has confirmed the configuration for revocation_milliseconds; requests with keys are refused, since strict_revocation is set."}
 	KeysConfirmed           = Event{880, zapcore.InfoLevel, "keys confirmed", "The configuration is confirmed again, and requests with keys are served."}
+	TenantAtQuota           = Event{881, zapcore.InfoLevel, "tenant at quota", "A step of a tenant is not started, because the tenant would exceed its quota; once in two seconds for each tenant. Detail tells the use, the limit of this leader, and what runs on unread workers may use."}
+	StepAboveQuota          = Event{882, zapcore.WarnLevel, "step above quota", "The configuration has lowered a tenant's quota below what one task or the gang of an accepted step needs: the step waits until the quota is raised or the job cancelled. Once per step and leader."}
+	ShareExceeded           = Event{883, zapcore.InfoLevel, "share exceeded", "Work of a tenant beyond its share has been waiting for more than a second: instances refuse its further jobs beyond the share. Detail names the tenant and the work; age is the expected time until it has started."}
 )
 
 // All lists every event in ascending order of the numbers.
 var All = []Event{
-	DaemonStarted, StartFailed, ControlEventsDelayed, EffectUnhandled, ServerFailed,
-	ShutdownStarted, ShutdownFinished, ShutdownTimedOut,
-	LeaseGranted, LeaseLost, LeaseReleased, WorkerQuarantined, WorkerDraining,
-	PartitionClaimed, PartitionLost, JournalLoadFailed, CommitFailed, CommitResolved,
-	DocumentInForce, DocumentBehind, DocumentInvalid,
+	DaemonStarted, StartFailed, ControlEventsDelayed, EffectUnhandled, ServerFailed, ShutdownStarted, ShutdownFinished, ShutdownTimedOut, LeaseGranted, LeaseLost, LeaseReleased, WorkerQuarantined, WorkerDraining, PartitionClaimed, PartitionLost, JournalLoadFailed, CommitFailed, CommitResolved, DocumentInForce, DocumentBehind, DocumentInvalid,
 	WorkerQueueFull, WorkerAnswerDamaged,
 	InstanceListFailed, StoreUnavailable, StoreAvailable, DocumentNotRead, DocumentHeadNotRead, EditRepeated, StoredAnswersLost,
-	PeerLinkOpened, PeerLinkClosed, PeerDialFailed, PeerFrameMalformed, PeerHelloRefused, PeerQueueFull, PeerMessageTooLarge, PeerMessageInvalid,
-	PeerSuspected,
+	PeerLinkOpened, PeerLinkClosed, PeerDialFailed, PeerFrameMalformed, PeerHelloRefused, PeerQueueFull, PeerMessageTooLarge, PeerMessageInvalid, PeerSuspected,
 	BodyNotStored, AnswerDamaged,
 	OperatorCallRefused, EditCommitted, EditRejected, EditUncertain, CredentialsNotReloaded, CredentialsReloaded,
 	RequestOutcomeUnknown,
-	InstanceStarted, InstanceStopped, SettingsReloaded, SettingsInvalid, StoreUnreachable, StoreReachable, ConfigurationInForce, ConfigurationInvalid, LeadershipClaimed, LeadershipLost, LeadershipEnded, LeadershipClaimFailed, LeadershipReleaseFailed, LeaderFound, LeaderLost, LeaderDelayed, InstanceLinked, InstanceUnlinked, InstanceRowUnreadable, LeadershipYielded, RankUnavailable, LeadershipReleased, PredecessorRunsSettled, ProcessorSpeedChanged, ShardsKnown, ShardsPlanned, ShardsUnavailable, ShardOutsideMap, JobsLoaded, JobUnreadable, JobKnownToLeader, JobFinished, JobCancelled, JobNotRemoved, SaveDelayed, LeaderLoad, LeaderOverloaded, StoreRowUnreadable, RunOrdered, RunRejected, RunUnknown, RunEnded, RunGivenUp, RunMoved, StepWaiting, RunPaced, ProgressRejected, RunAdopted, WorkerRestarted, WorkerUnreachable, WorkerReachable, WorkerHealthChanged, RegistrationUnreadable, AdviceFailed, ShardCapacity, StepOverdue, RequestAnswered, RequestNotServed, KeyRefused, ConfigurationFromLeader, KeysUnconfirmed, KeysConfirmed,
+	InstanceStarted, InstanceStopped, SettingsReloaded, SettingsInvalid, StoreUnreachable, StoreReachable, ConfigurationInForce, ConfigurationInvalid, LeadershipClaimed, LeadershipLost, LeadershipEnded, LeadershipClaimFailed, LeadershipReleaseFailed, LeaderFound, LeaderLost, LeaderDelayed, InstanceLinked, InstanceUnlinked, InstanceRowUnreadable, LeadershipYielded, RankUnavailable, LeadershipReleased, PredecessorRunsSettled, ProcessorSpeedChanged, ShardsKnown, ShardsPlanned, ShardsUnavailable, ShardOutsideMap, JobsLoaded, JobUnreadable, JobKnownToLeader, JobFinished, JobCancelled, JobNotRemoved, SaveDelayed, LeaderLoad, LeaderOverloaded, StoreRowUnreadable, RunOrdered, RunRejected, RunUnknown, RunEnded, RunGivenUp, RunMoved, StepWaiting, RunPaced, ProgressRejected, RunAdopted, WorkerRestarted, WorkerUnreachable, WorkerReachable, WorkerHealthChanged, RegistrationUnreadable, AdviceFailed, ShardCapacity, StepOverdue, RequestAnswered, RequestNotServed,
+	KeyRefused, ConfigurationFromLeader, KeysUnconfirmed, KeysConfirmed, TenantAtQuota,
+	StepAboveQuota, ShareExceeded,
 }
