soak: clients use keys of four tenants, which are revoked and added

Each tenant has two keys; now and then the older one is revoked and a new one added. Probes use current, revoked and invented keys. Violations: success with a key that was revoked more than 3 s before, or 9 s for instances that only their leader can tell; success with a key that no configuration held; status 401 for a key that has been in force for 3 s; a tenant that is told the state of another's job. The faults record which instances they keep from the store or the leader, since no time holds while those lack it. A call that gets 401 counts as a refusal, so its job must never run.

--- a/soak/clients_test.go
+++ b/soak/clients_test.go
@@ -38,9 +38,10 @@
 // submission is a job and the responses that its client received.
 type submission struct {
 	id, path           string
+	tenant             int
 	body               []byte
 	acceptedAt         time.Time // zero if no attempt was accepted
-	refused            bool      // every attempt was refused with status 429 or 503
+	refused            bool      // every attempt was refused with status 401, 429 or 503
 	cancelRequested    bool
 	cancelAcknowledged bool
 	gone               bool // its cancellation was answered with status 410
@@ -75,7 +76,7 @@
 					return
 				case <-time.After(submitInterval):
 				}
-				c.submitJob(client, random, fmt.Sprintf("%016x", uint64(testCluster.seed)<<32|uint64(n)<<24|uint64(number)))
+				c.submitJob(client, random, n%tenantCount, fmt.Sprintf("%016x", uint64(testCluster.seed)<<32|uint64(n)<<24|uint64(number)))
 			}
 		})
 		c.goroutines.Go(func() {
@@ -91,6 +92,10 @@
 			}
 		})
 	}
+	c.goroutines.Go(c.changeKeys)
+	probes := &http.Client{Timeout: requestTimeout, Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}}
+	DeferCleanup(probes.CloseIdleConnections)
+	c.goroutines.Go(func() { c.probeKeys(probes, rand.New(rand.NewPCG(uint64(testCluster.seed), 302))) })
 	return c
 }
 
@@ -122,16 +127,25 @@
 	return open[r.IntN(len(open))]
 }
 
-// callRandomInstance sends one request to a random instance. The returned status is
-// zero if no response was received.
-func (c *clients) callRandomInstance(client *http.Client, r *rand.Rand, method, path string, body []byte) (int, map[string]any) {
+// callRandomInstance sends one request to a random instance with the key of a tenant. The
+// returned status is zero if no response was received.
+func (c *clients) callRandomInstance(client *http.Client, r *rand.Rand, tenant int, method, path string, body []byte) (int, map[string]any) {
 	p := c.cluster.processes[r.IntN(len(c.cluster.processes))]
+	key, sentAt := c.cluster.keys.current(tenant), time.Now()
+	status, answer := c.call(client, p, key.text, method, path, body)
+	c.judge(p, key, sentAt, status)
+	return status, answer
+}
+
+// call sends one request to an instance with a key.
+func (c *clients) call(client *http.Client, p *process, key, method, path string, body []byte) (int, map[string]any) {
 	request, err := http.NewRequest(method, "http://"+p.callerAddress.String()+path, bytes.NewReader(body))
 	if err != nil {
 		c.reportViolation("create request: %v", err)
 		return 0, nil
 	}
 	request.Host = "h.example"
+	request.Header.Set("Authorization", "Bearer "+key)
 	request.Header.Set("X-Deadline-Ms", fmt.Sprint(requestTimeout.Milliseconds()))
 	response, err := client.Do(request)
 	if err != nil {
@@ -148,7 +162,7 @@
 }
 
 // newRandomJob creates a random job and declares it to the recorder of the runners.
-func (c *clients) newRandomJob(r *rand.Rand, id string) *submission {
+func (c *clients) newRandomJob(r *rand.Rand, tenant int, id string) *submission {
 	type step struct {
 		Count    int   `json:"Count"`
 		CPU      int   `json:"Cpu"`
@@ -191,7 +205,7 @@
 		c.reportViolation("encode job: %v", err)
 	}
 	c.cluster.recorder.DeclareJob(id, declared)
-	j := &submission{id: id, path: path + id, body: body}
+	j := &submission{id: id, path: path + id, tenant: tenant, body: body}
 	c.mu.Lock()
 	c.jobs = append(c.jobs, j)
 	c.mu.Unlock()
@@ -200,24 +214,24 @@
 
 // submitJob submits a random job until it is accepted or all attempts are used. It
 // submits some accepted jobs again and cancels some.
-func (c *clients) submitJob(client *http.Client, r *rand.Rand, id string) {
-	j := c.newRandomJob(r, id)
+func (c *clients) submitJob(client *http.Client, r *rand.Rand, tenant int, id string) {
+	j := c.newRandomJob(r, tenant, id)
 	refused := true
 	for range maxRequestAttempts {
-		status, _ := c.callRandomInstance(client, r, http.MethodPost, j.path, j.body)
+		status, _ := c.callRandomInstance(client, r, j.tenant, http.MethodPost, j.path, j.body)
 		switch {
 		case status/100 == 2:
 			c.mu.Lock()
 			j.acceptedAt = time.Now()
 			c.mu.Unlock()
 			if r.IntN(resubmitOneIn) == 0 {
-				c.callRandomInstance(client, r, http.MethodPost, j.path, j.body)
+				c.callRandomInstance(client, r, j.tenant, http.MethodPost, j.path, j.body)
 			}
 			if r.IntN(cancelOneIn) == 0 {
 				c.cancelJob(client, r, j)
 			}
 			return
-		case status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests:
+		case status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests && status != http.StatusUnauthorized:
 			refused = false
 			if r.IntN(withdrawOneIn) == 0 {
 				c.cancelJob(client, r, j)
@@ -236,7 +250,7 @@
 	j.cancelRequested = true
 	c.mu.Unlock()
 	for range maxRequestAttempts {
-		status, _ := c.callRandomInstance(client, r, http.MethodDelete, j.path, nil)
+		status, _ := c.callRandomInstance(client, r, j.tenant, http.MethodDelete, j.path, nil)
 		if status/100 == 2 || status == http.StatusGone {
 			c.mu.Lock()
 			j.cancelAcknowledged, j.gone = true, status == http.StatusGone
@@ -251,7 +265,7 @@
 // allowed.
 func (c *clients) checkJob(client *http.Client, r *rand.Rand, j *submission) {
 	requestedAt := time.Now()
-	status, answer := c.callRandomInstance(client, r, http.MethodGet, j.path, nil)
+	status, answer := c.callRandomInstance(client, r, j.tenant, http.MethodGet, j.path, nil)
 	state, _ := answer["State"].(string)
 	c.mu.Lock()
 	acceptedAt, cancelRequested := j.acceptedAt, j.cancelRequested
@@ -266,6 +280,9 @@
 		}
 	}
 	c.mu.Unlock()
+	if c.probeTenant(client, j, requestedAt) {
+		c.reportViolation("tenant %d was told the state of job %s of tenant %d", otherTenant(j.tenant), j.id, j.tenant)
+	}
 	switch {
 	case status == http.StatusGone && !acceptedAt.IsZero() && requestedAt.Sub(acceptedAt) > visibilityTimeout:
 		c.reportViolation("job %s was accepted but no longer exists", j.id)
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -50,12 +50,15 @@
 	directory      string
 	store          *standin.Store
 	recorder       *standin.Recorder
+	keys           *keyRing
 	runners        []linkedRunner
 	processes      []*process
 
-	mu                   sync.Mutex
-	history              []string                   // timestamped faults and errors
-	splitLinks           map[*linkstandin.Link]bool // links that a split cuts
+	mu         sync.Mutex
+	history    []string                   // timestamped faults and errors
+	splitLinks map[*linkstandin.Link]bool // links that a split cuts
+
+	configurationMutex   sync.Mutex // held while a configuration is written
 	configurationVersion int
 }
 
@@ -63,7 +66,7 @@
 	GinkgoHelper()
 	c := &cluster{
 		seed: seed, scheduleRandom: rand.New(rand.NewPCG(uint64(seed), 1)), directory: GinkgoT().TempDir(),
-		store: standin.NewStore(), recorder: standin.NewRecorder(nil), splitLinks: map[*linkstandin.Link]bool{},
+		store: standin.NewStore(), recorder: standin.NewRecorder(nil), keys: newKeyRing(seed), splitLinks: map[*linkstandin.Link]bool{},
 	}
 	DeferCleanup(c.store.Close)
 	advice := standin.NewAdviceServer(c.recorder, c.allowsStep)
@@ -89,7 +92,7 @@
 			"advertised_peer_address": p.peerLinks.registeredAddress.String(), "store_address": p.storeLink.Address().String(),
 			"advice_address":  advice.Listener.Addr().(*net.TCPAddr).AddrPort().String(),
 			"processor_share": 0.4, "memory_megabytes": 284, "grace_seconds": graceSeconds,
-			"max_hold_milliseconds": 10_000, "stop_timeout_milliseconds": 400, "retention_seconds": 120,
+			"max_hold_milliseconds": 10_000, "stop_timeout_milliseconds": 400, "retention_seconds": 120, "features": "tenants",
 		})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(os.WriteFile(p.settingsPath, text, 0o600)).To(Succeed())
@@ -163,10 +166,10 @@
 
 // writeConfiguration writes the next version of the configuration to the store.
 func (c *cluster) writeConfiguration() {
-	c.mu.Lock()
+	c.configurationMutex.Lock()
+	defer c.configurationMutex.Unlock()
 	c.configurationVersion++
 	version := c.configurationVersion
-	c.mu.Unlock()
 	queue := func(name, prefix string, priority int, decisionMilliseconds float64) map[string]any {
 		return map[string]any{
 			"Name": name, "Host": "h.example", "PathPrefix": prefix, "Service": poolName, "MaxAttempts": maxTaskAttempts,
@@ -175,9 +178,9 @@
 		}
 	}
 	c.store.Put("op", "config", map[string]any{
-		"Version": version,
-		"Routes":  []map[string]any{queue("urgent", "/u/", 0, 1), queue("batch", "/b/", 1, 300)},
-		"Limits":  map[string]int{"MaxBodyBytes": 65536},
+		"Version": version, "Tenants": c.keys.wireTenants(),
+		"Routes": []map[string]any{queue("urgent", "/u/", 0, 1), queue("batch", "/b/", 1, 300)},
+		"Limits": map[string]int{"MaxBodyBytes": 65536},
 	})
 }
 
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -75,23 +75,23 @@
 	{name: "instance killed", exclusionGroup: processFaults, inject: func(c *cluster, r *rand.Rand) func() {
 		p := pickRandom(r, c.processes)
 		p.kill()
-		return p.start
+		return c.disturbing(p.start, allBlocked, p)
 	}},
 	{name: "instance stopped", exclusionGroup: processFaults, inject: func(c *cluster, r *rand.Rand) func() {
 		p := pickRandom(r, c.processes)
 		p.signal(syscall.SIGTERM)
-		return func() {
+		return c.disturbing(func() {
 			if !p.exitsWithin(graceSeconds * time.Second) {
 				c.recordEvent("%s did not exit within the grace period", p.name)
 				p.kill()
 			}
 			p.start()
-		}
+		}, allBlocked, p)
 	}},
 	{name: "instance paused", exclusionGroup: processFaults, inject: func(c *cluster, r *rand.Rand) func() {
 		p := pickRandom(r, c.processes)
 		p.signal(syscall.SIGSTOP)
-		return func() { p.signal(syscall.SIGCONT) }
+		return c.disturbing(func() { p.signal(syscall.SIGCONT) }, allBlocked, p)
 	}},
 	{name: "settings reloaded", inject: func(c *cluster, r *rand.Rand) func() {
 		pickRandom(r, c.processes).signal(syscall.SIGHUP)
@@ -101,26 +101,26 @@
 		for _, p := range c.processes {
 			p.kill()
 		}
-		return func() {
+		return c.disturbing(func() {
 			for _, p := range c.processes {
 				p.start()
 			}
-		}
+		}, allBlocked, c.processes...)
 	}},
 	{name: "store down", inject: func(c *cluster, _ *rand.Rand) func() {
 		c.store.SetDown(true)
-		return func() { c.store.SetDown(false) }
+		return c.disturbing(func() { c.store.SetDown(false) }, allBlocked, c.processes...)
 	}},
 	{name: "store unresponsive", inject: func(c *cluster, _ *rand.Rand) func() {
 		var all []*linkstandin.Link
 		for _, p := range c.processes {
 			all = append(all, p.storeLink)
 		}
-		return c.applyFaults(cutBothDirections, all...)
+		return c.disturbing(c.applyFaults(cutBothDirections, all...), allBlocked, c.processes...)
 	}},
 	{name: "store silent", inject: func(c *cluster, _ *rand.Rand) func() {
 		c.store.SetSilent(true)
-		return func() { c.store.SetSilent(false) }
+		return c.disturbing(func() { c.store.SetSilent(false) }, allBlocked, c.processes...)
 	}},
 	{name: "store partitions unresponsive", inject: func(c *cluster, r *rand.Rand) func() {
 		first := r.IntN(unresponsiveStride)
@@ -148,16 +148,16 @@
 		return func() {}
 	}},
 	{name: "instance cut off from the store", inject: func(c *cluster, r *rand.Rand) func() {
-		link := pickRandom(r, c.processes).storeLink
-		return c.applyFaults(randomCut(r), link)
+		target := pickRandom(r, c.processes)
+		return c.disturbing(c.applyFaults(randomCut(r), target.storeLink), storeBlocked, target)
 	}},
 	{name: "link from an instance to the store slow", inject: func(c *cluster, r *rand.Rand) func() {
-		link := pickRandom(r, c.processes).storeLink
-		return c.applyFaults(randomSlowdown(r), link)
+		target := pickRandom(r, c.processes)
+		return c.disturbing(c.applyFaults(randomSlowdown(r), target.storeLink), storeBlocked, target)
 	}},
 	{name: "instance cut off from its peers", inject: func(c *cluster, r *rand.Rand) func() {
 		target := pickRandom(r, c.processes)
-		return c.applyFaults(randomCut(r), target.peerLinks.byCaller...)
+		return c.disturbing(c.applyFaults(randomCut(r), target.peerLinks.byCaller...), leaderBlocked, c.processes...)
 	}},
 	{name: "link from peers to an instance slow", inject: func(c *cluster, r *rand.Rand) func() {
 		target := pickRandom(r, c.processes)
@@ -239,7 +239,7 @@
 		resetConnections(p.storeLink)
 		resetConnections(p.peerLinks.byCaller...)
 		resetConnections(pickRandom(r, c.runners).byCaller...)
-		return func() {}
+		return c.disturbing(func() {}, storeBlocked, p)
 	}},
 	// The leases that the leader has granted to the runners that it does not reach expire
 	// while it still holds the leadership for confirmed.
@@ -256,7 +256,7 @@
 			return func() {}
 		}
 		c.recordEvent("splitting %s, leader of shard %d, with runners %v", c.processes[leader].name, shard, slices.Sorted(maps.Keys(beside)))
-		return c.split(leader, beside)
+		return c.disturbing(c.split(leader, beside), allBlocked, c.processes...)
 	}},
 }
 
