instance, jobstore: one owner for an ID while partitions of the store are silent

Cause: a job goes to its second home if the main one is silent, and the store reports a conflict only in the home that holds the other job. Another tenant's submission of the same ID was then accepted too and never ran.

Change: where requests need keys, an instance asks the leader whether another tenant has the ID before it stores a job in the second home, or within 10 minutes after a partition was silent to it. If so, nothing is stored and the answer is 409. Without an answer of the leader the job counts as new, as before.

Existing test: storeJob has an argument for the tenant (notification_test.go).

--- a/instance/keys_test.go
+++ b/instance/keys_test.go
@@ -15,6 +15,8 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"fuchsiacross/jobstore"
+	"fuchsiacross/link"
 	"fuchsiacross/linkstandin"
 	"fuchsiacross/platform/standin"
 )
@@ -184,6 +186,31 @@
 		c.expectStartedOnce()
 	})
 
+	// A job is stored in its second home while the first does not answer. The store then finds
+	// no conflict with a job of another tenant, which was told that its job is accepted and whose
+	// job never ran.
+	It("accepts an ID once while a partition of the store does not answer", func() {
+		c := newKeyCluster(2, unchanged)
+		i := c.instances[c.follower()]
+		for n := range 3 {
+			main := jobstore.New(nil, 0).Homes(jobID(n))[0]
+			c.store.SetUnresponsive(main)
+			Expect(c.status(i, http.MethodPost, path(n), keyOfA)).To(Equal(http.StatusOK))
+			c.store.SetUnresponsive()
+			c.expectState(i, path(n), "completed")
+			Expect(c.status(i, http.MethodPost, path(n), keyOfB)).To(Equal(http.StatusConflict), "in the main home")
+			Expect(c.status(i, http.MethodPost, path(n), keyOfA)).To(Equal(http.StatusOK))
+
+			main = jobstore.New(nil, 0).Homes(jobID(10 + n))[0]
+			Expect(c.status(i, http.MethodPost, path(10+n), keyOfA)).To(Equal(http.StatusOK))
+			c.expectState(i, path(10+n), "completed")
+			c.store.SetUnresponsive(main)
+			Expect(c.status(i, http.MethodPost, path(10+n), keyOfB)).To(BeElementOf(http.StatusConflict, http.StatusGatewayTimeout), "in the second home")
+			c.store.SetUnresponsive()
+		}
+		c.expectStartedOnce()
+	})
+
 	It("lets a configuration add and revoke keys on open connections", func() {
 		c := newKeyCluster(1, unchanged)
 		i := c.instances[0]
@@ -235,6 +262,13 @@
 		Expect(refused.StatusCode).To(Equal(http.StatusServiceUnavailable))
 		Expect(refused.Close).To(BeTrue())
 		Expect(c.status(i, http.MethodGet, "/open/none")).To(Equal(http.StatusBadRequest), "a public route needs no key")
+		// Two leaders without the store that counted each other's answers would go on forever.
+		i.keys.recordRelay(time.Now())
+		Expect(i.freshness(true).IsConfirmed(time.Now())).To(BeTrue())
+		answer := i.configurationAnswer(link.Message{})
+		Expect(answer.Known).To(BeFalse())
+		Expect(answer.Data).NotTo(BeEmpty())
+		Expect(i.configurationAnswer(link.Message{Version: answer.Version}).Data).To(BeEmpty(), "sent only if newer")
 		for _, l := range c.storeLinks {
 			l.SetFaults(linkstandin.Faults{})
 		}
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -425,7 +425,7 @@
 	defer cancel()
 	a := link.Message{Kind: link.KindStoreResponse, Number: m.Number, Job: m.Job}
 	if m.Kind == link.KindStoreJobRequest {
-		a.Outcome = l.shard.storeJob(ctx, l.shard.jobs.Homes(m.Job)[0], m.Job, m.Data)
+		a.Outcome = l.shard.storeJob(ctx, l.shard.jobs.Homes(m.Job)[0], m.Job, m.Tenant, m.Data)
 	} else {
 		a.Outcome = l.shard.storeCancellation(ctx, m.Job, m.Tenant)
 	}
--- a/instance/notification_test.go
+++ b/instance/notification_test.go
@@ -38,7 +38,7 @@
 			s.jobs.MarkUnresponsive(homes[0])
 			homes = s.jobs.Homes(jobID(1))
 		}
-		g.Expect(s.storeJob(ctx, homes[0], jobID(1), encoded)).To(Equal(job.OutcomeDone))
+		g.Expect(s.storeJob(ctx, homes[0], jobID(1), "", encoded)).To(Equal(job.OutcomeDone))
 		if attempt == 2 {
 			g.Expect(l.events).To(BeEmpty()) // stored before
 			continue
--- a/instance/requests.go
+++ b/instance/requests.go
@@ -71,16 +71,19 @@
 			if attempt > 0 {
 				s.jobs.MarkUnresponsive(homes[(attempt-1)%len(homes)])
 			}
-			return s.storeJob(ctx, homes[attempt%len(homes)], id, encoded)
+			return s.storeJob(ctx, homes[attempt%len(homes)], id, tenant, encoded)
 		},
-		link.Message{Kind: link.KindStoreJobRequest, Job: id, Data: encoded})
+		link.Message{Kind: link.KindStoreJobRequest, Job: id, Tenant: tenant, Data: encoded})
 	return outcomeResponse(outcome)
 }
 
 // storeJob inserts a job into one of its homes, the partitions that may hold it, and
 // notifies the leader. Two rows of one job may be reported to different leaders, so only the row
 // in the main home, of which there is one, counts as a notification.
-func (s *shard) storeJob(ctx context.Context, home string, id job.ID, encoded []byte) job.Outcome {
+func (s *shard) storeJob(ctx context.Context, home string, id job.ID, tenant string, encoded []byte) job.Outcome {
+	if s.isOwnedByOther(home, id, tenant) {
+		return job.OutcomeConflict
+	}
 	version, err := s.jobs.Accept(ctx, home, id, encoded)
 	s.instance.recordStoreCall(err)
 	if err == nil && version != 0 {
@@ -89,6 +92,21 @@
 	return writeOutcome(err)
 }
 
+// ownerTimeout limits the question to the leader before a job is stored.
+const ownerTimeout = 200 * time.Millisecond
+
+// isOwnedByOther reports whether the leader knows a job of another tenant with the ID, in cases
+// in which the store might not find it: a conflict shows only in the home that holds it. Without
+// an answer of the leader, the job counts as new.
+func (s *shard) isOwnedByOther(home string, id job.ID, tenant string) bool {
+	if !s.instance.keysRequired() || !s.jobs.MayBeElsewhere(home, id) {
+		return false
+	}
+	s.instance.counter("submit.owner_asked").Inc(1)
+	a, err := s.callLeader(time.Now().Add(ownerTimeout), link.Message{Kind: link.KindStatusRequest, Job: id, Tenant: tenant})
+	return err == nil && a.Outcome == job.OutcomeNoJob
+}
+
 // storeCancellation stores a cancellation and notifies the leader.
 func (s *shard) storeCancellation(ctx context.Context, id job.ID, tenant string) job.Outcome {
 	found, err := s.jobs.Cancel(ctx, id, tenant)
--- a/jobstore/jobstore.go
+++ b/jobstore/jobstore.go
@@ -102,8 +102,9 @@
 	// OnUnreadableRow is called by Load with the key of each row that cannot be decoded.
 	OnUnreadableRow func(key string, err error)
 
-	mu         sync.Mutex
-	avoidUntil map[string]time.Time // time until which Homes returns an unresponsive partition last
+	mu               sync.Mutex
+	avoidUntil       map[string]time.Time // time until which Homes returns an unresponsive partition last
+	lastUnresponsive time.Time            // when a partition last was unresponsive
 }
 
 // New returns the store of the given shard, which it accesses through c.
@@ -153,7 +154,20 @@
 func (s *Store) MarkUnresponsive(home string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.avoidUntil[home] = time.Now().Add(avoidDuration)
+	s.lastUnresponsive = time.Now()
+	s.avoidUntil[home] = s.lastUnresponsive.Add(avoidDuration)
+}
+
+// scatterDuration is how long jobs count as scattered over both homes after a partition was
+// unresponsive. It exceeds the run time of most jobs and their retention.
+const scatterDuration = 10 * time.Minute
+
+// MayBeElsewhere reports whether a job that a home does not hold may well be in the other one:
+// the home is not the main one, or a partition was unresponsive in the last minutes.
+func (s *Store) MayBeElsewhere(home string, id job.ID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !IsMainHome(home, id) || !s.lastUnresponsive.IsZero() && time.Since(s.lastUnresponsive) < scatterDuration
 }
 
 // recordResponse records whether a partition answered a call. A cancelled call does
