link: strangers send small frames only, and a queue costs 16 KiB

Each accepted connection allocated its queue of 2,048 messages in full and took frames of 8 MiB from anybody. The queue now holds pointers, and frames have at most 64 KiB until the connection has sent a hello. The hello also marks the connection as established, so that package intake no longer evicts it.

go test ./link passes; "may be large only after a hello" fails without the change.

--- a/link/link.go
+++ b/link/link.go
@@ -25,6 +25,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
 
+	"fuchsiacross/intake"
 	"fuchsiacross/job"
 )
 
@@ -35,6 +36,7 @@
 	dialTimeout           = time.Second
 	maxQueuedMessages     = 2048
 	maxFrameBytes         = 8 << 20
+	maxStrangerFrameBytes = 64 << 10 // of a connection that was accepted and has not sent its hello
 	maxFrameMessages      = 256
 	writeTimeout          = time.Second
 	handshakeTimeout      = 2 * time.Second
@@ -152,11 +154,12 @@
 // concurrent use.
 type Conn struct {
 	socket           *websocket.Conn
-	queue            chan Message
+	queue            chan *Message // pointers, since the channel of each connection is allocated in full
 	cancel           context.CancelFunc
 	closeOnce        sync.Once
 	onClosed         func(*Conn, error)
 	timeoutsExtended atomic.Bool
+	onHello          func() // nil for dialled connections; called for each hello
 }
 
 // Dial opens a connection to an instance. The connection calls onMessage for each
@@ -168,7 +171,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "dial instance")
 	}
-	return newConn(socket, onMessage, onClosed), nil
+	return newConn(socket, maxFrameBytes, nil, onMessage, onClosed), nil
 }
 
 // Handler returns an HTTP handler that accepts connections. The connections call
@@ -181,14 +184,18 @@
 		if err != nil {
 			return
 		}
-		newConn(socket, onMessage, onClosed)
+		onHello := func() {
+			socket.SetReadLimit(maxFrameBytes)
+			intake.Establish(r.Context())
+		}
+		newConn(socket, maxStrangerFrameBytes, onHello, onMessage, onClosed)
 	})
 }
 
-func newConn(socket *websocket.Conn, onMessage func(*Conn, Message), onClosed func(*Conn, error)) *Conn {
-	socket.SetReadLimit(maxFrameBytes)
+func newConn(socket *websocket.Conn, readLimit int64, onHello func(), onMessage func(*Conn, Message), onClosed func(*Conn, error)) *Conn {
+	socket.SetReadLimit(readLimit)
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &Conn{socket: socket, queue: make(chan Message, maxQueuedMessages), cancel: cancel, onClosed: onClosed}
+	c := &Conn{socket: socket, queue: make(chan *Message, maxQueuedMessages), cancel: cancel, onClosed: onClosed, onHello: onHello}
 	go func() { c.close(c.readLoop(ctx, onMessage)) }()
 	go func() { c.close(c.writeLoop(ctx)) }()
 	return c
@@ -198,7 +205,7 @@
 // closes the connection instead.
 func (c *Conn) Send(m Message) {
 	select {
-	case c.queue <- m:
+	case c.queue <- &m:
 	default:
 		c.close(errors.New("send queue full: the peer does not read"))
 	}
@@ -241,6 +248,9 @@
 			return errors.Wrap(err, "decode frame")
 		}
 		for i := range frame {
+			if Kind(frame[i].Kind) == KindHello && c.onHello != nil {
+				c.onHello()
+			}
 			onMessage(c, fromWire(&frame[i]))
 		}
 	}
@@ -255,14 +265,14 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case m := <-c.queue:
-			frame = append(frame, toWire(&m))
+			frame = append(frame, toWire(m))
 		case <-heartbeatTimer.C:
 		}
 	gather:
 		for len(frame) < maxFrameMessages {
 			select {
 			case m := <-c.queue:
-				frame = append(frame, toWire(&m))
+				frame = append(frame, toWire(m))
 			default:
 				break gather
 			}
--- a/link/malformed_test.go
+++ b/link/malformed_test.go
@@ -44,4 +44,29 @@
 		good.Send(link.Message{Kind: link.KindHello, Name: "leader"})
 		Eventually(received, "5s").Should(Receive())
 	})
+
+	// Strangers that send many large frames at once used up the memory of the process.
+	It("may be large only after a hello", func(ctx SpecContext) {
+		received, closed := make(chan link.Message, 2), make(chan error, 2)
+		server := httptest.NewServer(link.Handler(
+			func(_ *link.Conn, m link.Message) { received <- m }, func(_ *link.Conn, err error) { closed <- err }))
+		DeferCleanup(server.Close)
+		address := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+		large := link.Message{Kind: link.KindJobStored, Data: make([]byte, 100_000)}
+		for _, greets := range []bool{false, true} {
+			c, err := link.Dial(ctx, address, func(*link.Conn, link.Message) {}, func(*link.Conn, error) {})
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(c.Close)
+			if greets {
+				c.Send(link.Message{Kind: link.KindHello, Name: "leader"})
+				Eventually(received, "5s").Should(Receive(HaveField("Kind", link.KindHello)))
+			}
+			c.Send(large)
+			if greets {
+				Eventually(received, "5s").Should(Receive(HaveField("Kind", link.KindJobStored)))
+			} else {
+				Eventually(closed, "5s").Should(Receive(MatchError(ContainSubstring("read"))))
+			}
+		}
+	})
 })
