--- a/intake/table_test.go
+++ b/intake/table_test.go
@@ -81,3 +81,23 @@
 		}
 	}
 }
+
+// Guards against bounds that the 95 clients of a zone meet on the smallest machine, with four
+// connections and two requests of 8 KB each at a time.
+func TestOrdinaryClientsMeetNoBound(t *testing.T) {
+	const clients, bodyBytes = 95, 8 << 10
+	bounds := DefaultBounds(144, 3075)
+	table, ledger := NewTable(bounds.CallerConnections), NewLedger(bounds.BodyBytes)
+	for range 4 * clients {
+		openEntry(t, table)
+	}
+	for range 2 * clients {
+		b := ledger.Open(bodyBytes)
+		if b == nil {
+			t.Fatal("a body is refused")
+		}
+		if verdict, _ := ledger.Grow(b, wholeFactor*bodyBytes); verdict != Granted || !ledger.Complete(b) {
+			t.Fatal("a body does not fit")
+		}
+	}
+}
