instance: bound connections, descriptors and bodies of untrusted clients

All listening addresses now accept a bounded number of connections, and the bodies of requests share a budget with eviction of the oldest incomplete ones (package intake). Four optional settings override the defaults, which derive from memory_megabytes and max_descriptors. Refusals are counted by cause and logged at most once a second (event 890).

The specs "Connections of clients in a shutdown" run over the listener that instances use now; what they check is unchanged.

--- a/instance/callerconn.go
+++ b/instance/callerconn.go
@@ -50,7 +50,7 @@
 	return c, nil
 }
 
-// recordState is the server's ConnState function.
+// recordState is the server's function for changes of state.
 func (l *callerListener) recordState(c net.Conn, state http.ConnState) {
 	if known, ok := c.(*callerConn); ok && state == http.StateIdle {
 		known.mu.Lock()
@@ -160,6 +160,9 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// NetConn returns the connection that this one wraps.
+func (c *callerConn) NetConn() net.Conn { return c.Conn }
+
 // Close closes the connection.
 func (c *callerConn) Close() error {
 	c.listener.mu.Lock()
--- a/instance/callerconn_test.go
+++ b/instance/callerconn_test.go
@@ -6,11 +6,14 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"fuchsiacross/intake"
 )
 
 // slowListener accepts connections that delay the result of each read that returns data, like
@@ -31,6 +34,9 @@
 	listener slowListener
 }
 
+// NetConn returns the connection that is delayed.
+func (c slowConn) NetConn() net.Conn { return c.Conn }
+
 func (c slowConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if delay := time.Duration(c.listener.delay.Load()); n > 0 && delay > 0 {
@@ -77,17 +83,22 @@
 	BeforeEach(func() {
 		delay.Store(0)
 		read, handlerTime = make(chan struct{}, 1), 0
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := intake.Listen(netip.MustParseAddrPort("127.0.0.1:0"), intake.Options{MaxConnections: 16})
 		Expect(err).NotTo(HaveOccurred())
 		callers = newCallerListener(slowListener{listener, &delay, read})
 		var stopping atomic.Bool
-		server := &http.Server{ConnState: callers.recordState, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		recordCaller := callers.recordState
+		recordState := func(c net.Conn, state http.ConnState) {
+			intake.RecordState(c, state)
+			recordCaller(c, state)
+		}
+		server := &http.Server{ConnState: recordState, ConnContext: intake.ConnContext, Handler: intake.Handler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			time.Sleep(handlerTime)
 			if stopping.Load() {
 				w.Header().Set("Connection", "close")
 			}
 			_, _ = io.WriteString(w, "ok")
-		})}
+		}))}
 		go func() { _ = server.Serve(callers) }()
 		DeferCleanup(server.Close)
 		client, err = net.Dial("tcp", listener.Addr().String())
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -28,6 +28,7 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"fuchsiacross/intake"
 	"fuchsiacross/job"
 	"fuchsiacross/link"
 	"fuchsiacross/logevent"
@@ -40,7 +41,6 @@
 
 const (
 	idleTimeout            = 30 * time.Second
-	readHeaderTimeout      = 5 * time.Second
 	maxHeaderBytes         = 16 << 10
 	balancerDetectionDelay = 2300 * time.Millisecond // time until the load balancer has seen two failed checks
 	shutdownReserve        = 1200 * time.Millisecond // part of the grace period that is kept for open requests
@@ -56,6 +56,7 @@
 	log         *zap.Logger
 	metrics     metrics.Registry
 	dropped     func() int64
+	intake      *intakeBounds
 
 	store  *store.Client
 	runner *runner.Client
@@ -96,12 +97,14 @@
 		i.counter("store.unreadable_rows").Inc(1)
 		logevent.StoreRowUnreadable.Log(i.log, errorField(err))
 	}
+	i.intake = i.newIntake()
 	if s.AdviceAddress.IsValid() {
 		i.advice = advice.New(s.AdviceAddress)
 	}
 	handler := &client.Handler{
 		Route: i.findQueue, MaxBodyBytes: i.maxBodyBytes, Submit: i.submit, Status: i.status,
 		Cancel: i.cancelJob, CountPending: i.countPending, ShouldCloseConnections: i.stopping.Load,
+		ReadBody: i.intake.budget.ReadBody,
 	}
 	peerMux := http.NewServeMux()
 	peerMux.Handle(link.Path, link.Handler(i.handleLeaderMessage, i.handleLinkClosed))
@@ -110,19 +113,21 @@
 	metricsMux := http.NewServeMux()
 	metricsMux.HandleFunc(metricsPath, i.writeMetrics)
 	listeners := []struct {
+		name    string
 		address netip.AddrPort
 		handler http.Handler
+		options intake.Options
 	}{
-		{s.CallerAddress, handler},
-		{s.PeerAddress, peerMux},
-		{s.ReadinessAddress, readinessMux},
-		{s.MetricsAddress, metricsMux},
+		{"callers", s.CallerAddress, handler, i.intake.callers()},
+		{"peers", s.PeerAddress, peerMux, i.intake.peers()},
+		{"readiness", s.ReadinessAddress, readinessMux, i.intake.probes()},
+		{"metrics", s.MetricsAddress, metricsMux, i.intake.probes()},
 	}
 	for n, l := range listeners {
 		if !l.address.IsValid() {
 			continue
 		}
-		listener, err := net.Listen("tcp", l.address.String())
+		listener, err := i.intake.listen(l.name, l.address, l.options)
 		if err != nil {
 			cancel()
 			return nil, errors.Wrapf(err, "listen at %s", l.address)
@@ -134,6 +139,7 @@
 			i.servers = append(i.servers, i.startServer(listener, l.handler, nil))
 		}
 	}
+	i.goroutines.Go(i.reportIntake)
 	i.goroutines.Go(i.followConfiguration)
 	i.goroutines.Go(i.registerInstance)
 	i.goroutines.Go(i.joinElections)
@@ -147,9 +153,15 @@
 // which may be nil, is notified of the states of connections.
 func (i *Instance) startServer(listener net.Listener, handler http.Handler, connState func(net.Conn, http.ConnState)) *http.Server {
 	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		Handler: intake.Handler(handler), ReadHeaderTimeout: i.intake.bounds.HeaderTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(zap.NewNop()),
-		ConnState: connState,
+		ConnContext: intake.ConnContext, ConnState: func(c net.Conn, state http.ConnState) {
+			intake.RecordState(c, state)
+			if connState != nil {
+				connState(c, state)
+			}
+		},
+		Protocols: &http1Only,
 	}
 	i.goroutines.Go(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
--- a/instance/settings.go
+++ b/instance/settings.go
@@ -38,7 +38,12 @@
 	// not been confirmed for RevocationMilliseconds.
 	StrictRevocation       bool
 	RevocationMilliseconds int64
-	MaxRowBytes            int // largest value of a row in the store; set from the command line or the environment
+	// Bounds of untrusted clients; zero for the default of package intake.
+	MaxConnections            int64
+	BodyMegabytes             int64 // memory for bodies of requests
+	HeaderTimeoutMilliseconds int64
+	BodyTimeoutMilliseconds   int64
+	MaxRowBytes               int // largest value of a row in the store; set from the command line or the environment
 }
 
 // wireSettings is the JSON form of Settings.
@@ -63,6 +68,11 @@
 	Features                string  `json:"features"`
 	StrictRevocation        bool    `json:"strict_revocation"`
 	RevocationMilliseconds  int64   `json:"revocation_milliseconds"`
+
+	MaxConnections            int64 `json:"max_connections"`
+	BodyMegabytes             int64 `json:"body_megabytes"`
+	HeaderTimeoutMilliseconds int64 `json:"header_timeout_milliseconds"`
+	BodyTimeoutMilliseconds   int64 `json:"body_timeout_milliseconds"`
 }
 
 // FeatureTenants is the feature of deployments whose requests carry keys of tenants.
@@ -100,6 +110,8 @@
 		StopTimeoutMilliseconds: w.StopTimeoutMilliseconds, RetentionSeconds: w.RetentionSeconds,
 		LinkMegabits: w.LinkMegabits, MaxDescriptors: w.MaxDescriptors, Features: w.Features,
 		StrictRevocation: w.StrictRevocation, RevocationMilliseconds: w.RevocationMilliseconds,
+		MaxConnections: w.MaxConnections, BodyMegabytes: w.BodyMegabytes,
+		HeaderTimeoutMilliseconds: w.HeaderTimeoutMilliseconds, BodyTimeoutMilliseconds: w.BodyTimeoutMilliseconds,
 	}
 	addresses := []struct {
 		field    string
@@ -158,6 +170,7 @@
 			findings.Add(name+": "+n.field, "must not be negative")
 		}
 	}
+	checkIntakeSettings(name, &s, &findings)
 	if s.Name == "" {
 		findings.Add(name+": instance", "must not be empty")
 	}
--- a/logevent/list.go
+++ b/logevent/list.go
@@ -138,6 +138,7 @@
 	StepOverdue             = Event{867, zapcore.InfoLevel, "step overdue", "Others were started before a step for as long as it may be passed over; from now on it goes before all but urgent steps. Age is the time for which it was passed over."}
 	RequestAnswered         = Event{870, zapcore.InfoLevel, "request answered", "A client got a positive answer; status queries for running jobs are not logged."}
 	RequestNotServed        = Event{871, zapcore.InfoLevel, "request not served", "A client got a refusal or an unknown outcome; reason tells why."}
+	IntakeLimited           = Event{890, zapcore.WarnLevel, "intake limited", "Connections or bodies of clients were refused or evicted because a bound on connections, memory or time was reached; count is their number since the last line. The counters intake.refused and intake.evicted tell the causes."}
 )
 
 // All lists every event in ascending order of the numbers.
@@ -155,4 +156,5 @@
 	OperatorCallRefused, EditCommitted, EditRejected, EditUncertain, CredentialsNotReloaded, CredentialsReloaded,
 	RequestOutcomeUnknown,
 	InstanceStarted, InstanceStopped, SettingsReloaded, SettingsInvalid, StoreUnreachable, StoreReachable, ConfigurationInForce, ConfigurationInvalid, LeadershipClaimed, LeadershipLost, LeadershipEnded, LeadershipClaimFailed, LeadershipReleaseFailed, LeaderFound, LeaderLost, LeaderDelayed, InstanceLinked, InstanceUnlinked, InstanceRowUnreadable, LeadershipYielded, RankUnavailable, LeadershipReleased, PredecessorRunsSettled, ProcessorSpeedChanged, ShardsKnown, ShardsPlanned, ShardsUnavailable, ShardOutsideMap, JobsLoaded, JobUnreadable, JobKnownToLeader, JobFinished, JobCancelled, JobNotRemoved, SaveDelayed, LeaderLoad, LeaderOverloaded, StoreRowUnreadable, RunOrdered, RunRejected, RunUnknown, RunEnded, RunGivenUp, RunMoved, StepWaiting, RunPaced, ProgressRejected, RunAdopted, WorkerRestarted, WorkerUnreachable, WorkerReachable, WorkerHealthChanged, RegistrationUnreadable, AdviceFailed, ShardCapacity, StepOverdue, RequestAnswered, RequestNotServed,
+	IntakeLimited,
 }
--- a/settings/field.go
+++ b/settings/field.go
@@ -231,5 +231,6 @@
 		fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s |\n", f.pointer, f.typeName, f.formatRange(), defaultText, f.description)
 	}
 	b.WriteString("| `/peers` | list of objects |  |  | instances known before the platform's list is read, each with `instance`, `address` and `data_centre` |\n")
+	b.WriteString(instanceSection)
 	return b.String()
 }
