intake: clients that send whole requests without end do not keep others out

Connections that were serving a request were never evicted. Clients that send one whole request after the other are serving nearly all the time, so that new connections were refused while they went on. A new connection now evicts the one that began a whole request last; it closes after its response. Links keep a phase of their own and are not evicted.

--- a/intake/listener.go
+++ b/intake/listener.go
@@ -290,7 +290,7 @@
 // longer evicted. The context is that of the request.
 func Establish(ctx context.Context) {
 	if c, _ := ctx.Value(connKey{}).(*Conn); c != nil {
-		c.begin(PhaseServing)
+		c.begin(PhaseLinked)
 	}
 }
 
--- a/intake/table.go
+++ b/intake/table.go
@@ -9,7 +9,8 @@
 const (
 	PhaseIdle      Phase = iota // no byte of the next request has been read
 	PhaseReceiving              // the header or the body of a request is incomplete
-	PhaseServing                // a whole request is processed, or the connection is a link
+	PhaseServing                // a whole request is processed
+	PhaseLinked                 // it is a link to another instance
 	PhaseEvicted                // it is about to be closed
 	phaseCount
 )
@@ -24,8 +25,10 @@
 func (e *Entry) Phase() Phase { return e.phase }
 
 // Table decides which connections stay open. It addresses clients that open many connections
-// and send nothing or half a header. Connections with an incomplete request are evicted before
-// idle ones, the oldest first; those that are serving a request are not evicted.
+// and send nothing, half a header or one request after the other. Connections with an
+// incomplete request are evicted before idle ones, the oldest first. If there are neither, the
+// connection that began a whole request last is evicted: most likely it is one that sends many.
+// It closes after the response. Links are not evicted.
 type Table struct {
 	limit  int
 	phases [phaseCount]list.List // of *Entry, in the order in which the phase began
@@ -48,6 +51,9 @@
 		if victim == nil {
 			victim = t.phases[PhaseIdle].Front()
 		}
+		if victim == nil {
+			victim = t.phases[PhaseServing].Back()
+		}
 		if victim == nil {
 			return nil, nil
 		}
