dispatch, runtimes: move the models of run times and speeds to a package

The models that learn from finished runs grow, and dispatch gets no new logic. Change: Forecast and Pace move from dispatch to the new package runtimes, without a change of behaviour. What needs the reducer stays in dispatch.

--- a/dispatch/accept.go
+++ b/dispatch/accept.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"fuchsiacross/job"
+	"fuchsiacross/runtimes"
 )
 
 // loadJobs restores the state of all jobs from the store. A repeated load only adds jobs and
@@ -174,7 +175,7 @@
 	}
 	f := r.forecasts[j.Queue]
 	if f == nil {
-		f = &forecast{}
+		f = &runtimes.Forecast{}
 		r.forecasts[j.Queue] = f
 	}
 	s := &jobState{job: j, occurrences: map[int64]*occurrence{}, forecast: f}
--- a/dispatch/end.go
+++ b/dispatch/end.go
@@ -74,7 +74,7 @@
 	}
 	if s.complete() {
 		if s.endedRuns > 0 && !r.policy.UseRawEstimates {
-			s.job.forecast.observe(s.step.EstimateMilliseconds, s.totalRunTime/time.Duration(s.endedRuns))
+			s.job.forecast.Observe(s.step.EstimateMilliseconds, s.totalRunTime/time.Duration(s.endedRuns))
 		}
 		r.completeStep(s)
 	}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"fuchsiacross/job"
+	"fuchsiacross/runtimes"
 )
 
 // jobState is a job and the state of its tasks.
@@ -24,7 +25,7 @@
 	rejectedVersion      int64                 // confirmed version when the store refused its progress; zero before
 	objective            time.Duration         // the time from acceptance or due time within which the job is in time
 	remainingTimes       []time.Duration       // expected time from the start of each step to the end of the job
-	forecast             *forecast             // of the job's queue
+	forecast             *runtimes.Forecast    // of the job's queue
 	offeredAt            time.Time             // zero once the job is stored
 	planVersion          int                   // version of the forecast that the plan uses
 }
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -37,7 +37,7 @@
 // depend only on the policy and the forecast of its queue.
 func (j *jobState) plan(q job.Queue) {
 	j.queue = q
-	j.planVersion = j.forecast.version
+	j.planVersion = j.forecast.Version()
 	steps := j.job.Definition.Steps
 	longest := 0.0
 	chain := make([]float64, len(steps))
@@ -45,14 +45,14 @@
 		for _, before := range s.After {
 			chain[i] = max(chain[i], chain[before])
 		}
-		chain[i] += j.forecast.correctedMilliseconds(s.EstimateMilliseconds)
+		chain[i] += j.forecast.CorrectedMilliseconds(s.EstimateMilliseconds)
 		longest = max(longest, chain[i])
 	}
 	j.objective = milliseconds(longest*max(1, q.Stretch) + float64(q.LatencyMilliseconds))
 	remaining := make([]float64, len(steps))
 	j.remainingTimes = make([]time.Duration, len(steps))
 	for i := len(steps) - 1; i >= 0; i-- {
-		remaining[i] += j.forecast.correctedMilliseconds(steps[i].EstimateMilliseconds)
+		remaining[i] += j.forecast.CorrectedMilliseconds(steps[i].EstimateMilliseconds)
 		for _, before := range steps[i].After {
 			remaining[before] = max(remaining[before], remaining[i])
 		}
@@ -62,8 +62,8 @@
 
 // expectedLength returns how long a task of the step is expected to take.
 func (s *stepState) expectedLength() time.Duration {
-	if f := s.job.forecast; s.cachedLength == 0 || f.version >= s.lengthVersion+stepsPerReplan {
-		s.cachedLength, s.lengthVersion = milliseconds(f.correctedMilliseconds(s.step.EstimateMilliseconds)), f.version
+	if f := s.job.forecast; s.cachedLength == 0 || f.Version() >= s.lengthVersion+stepsPerReplan {
+		s.cachedLength, s.lengthVersion = milliseconds(f.CorrectedMilliseconds(s.step.EstimateMilliseconds)), f.Version()
 	}
 	return s.cachedLength
 }
@@ -81,7 +81,7 @@
 
 // newCandidate computes the sort keys of a waiting step.
 func (r *Reducer) newCandidate(s *stepState) candidate {
-	if s.job.forecast.version >= s.job.planVersion+stepsPerReplan {
+	if s.job.forecast.Version() >= s.job.planVersion+stepsPerReplan {
 		s.job.plan(s.job.queue)
 	}
 	due := s.dueTime()
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -386,7 +386,7 @@
 	}
 	l.score = unused +
 		memoryWeight*float64(left.MemoryBytes)/float64(max(1, w.registration.Capacity.MemoryBytes)) +
-		paceWeight*w.pace.logFactor
+		paceWeight*w.pace.LogFactor
 	if s.step.DataRack != "" && s.step.DataRack != w.registration.Rack {
 		l.score += remotePenalty
 	}
--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -27,6 +27,7 @@
 	"time"
 
 	"fuchsiacross/job"
+	"fuchsiacross/runtimes"
 )
 
 const (
@@ -114,7 +115,7 @@
 	enoughWorkersRead       bool // enough workers have been read to request advice
 
 	queues             map[string]job.Queue
-	forecasts          map[string]*forecast // by queue
+	forecasts          map[string]*runtimes.Forecast // by queue
 	jobs               map[job.ID]*jobState
 	storedAdvice       []Progress           // whose advice is not restored yet
 	notifiedBeforeLoad map[job.ID]job.Job   // stored jobs that this leader was notified of before the load
@@ -167,7 +168,7 @@
 		token:              o.Token,
 		nextRun:            o.Token * runNumbersPerToken,
 		queues:             map[string]job.Queue{},
-		forecasts:          map[string]*forecast{},
+		forecasts:          map[string]*runtimes.Forecast{},
 		jobs:               map[job.ID]*jobState{},
 		offers:             map[job.ID]*jobState{},
 		workers:            map[job.WorkerID]*worker{},
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -6,6 +6,7 @@
 
 	"fuchsiacross/job"
 	"fuchsiacross/model"
+	"fuchsiacross/runtimes"
 )
 
 // worker is the leader's view of a worker and its runs.
@@ -30,7 +31,7 @@
 	leaseEnd          time.Time    // until when its runs may continue, by the leader's clock
 	strayLeaseEnd     time.Time    // until when orders for earlier incarnations may have extended it
 	health            health
-	pace              pace
+	pace              runtimes.Pace
 	fillerThrottle    fillerThrottle
 	orphans           map[runKey]orphanRun
 
@@ -342,7 +343,7 @@
 	}
 	r.awaitConfirmation(r.now)
 	w.startTime, w.incarnationAt, w.processedEnd, w.savedEnd = e.Reading.StartTime, r.now, 0, 0
-	w.health, w.pace, w.fillerThrottle, w.orphans, w.unknownEnds = health{}, pace{}, fillerThrottle{}, nil, nil
+	w.health, w.pace, w.fillerThrottle, w.orphans, w.unknownEnds = health{}, runtimes.Pace{}, fillerThrottle{}, nil, nil
 }
 
 // markListed records that all runs of the worker are known, or are gone with it.
--- a/dispatch/forecast.go
+++ b/runtimes/forecast.go
@@ -1,4 +1,6 @@
-package dispatch
+// Package runtimes learns from finished and running work how long tasks take and how fast workers
+// are, without input or output.
+package runtimes
 
 import (
 	"math"
@@ -18,16 +20,16 @@
 	maxForecastFactor = 10.0
 )
 
-// forecast corrects the estimates of a queue's jobs by the measured lengths of their tasks,
+// Forecast corrects the estimates of a queue's jobs by the measured lengths of their tasks,
 // with a linear regression of the logarithm of the error on the logarithm of the estimate.
 // Where estimates carry little information, the forecast is close to the queue's usual length.
-type forecast struct {
+type Forecast struct {
 	count, sumX, sumZ, sumXX, sumXZ float64
 	version                         int
 }
 
-// observe adds a completed step and the mean length of its runs.
-func (f *forecast) observe(estimateMilliseconds float64, length time.Duration) {
+// Observe adds a completed step and the mean length of its runs.
+func (f *Forecast) Observe(estimateMilliseconds float64, length time.Duration) {
 	if estimateMilliseconds <= 0 || length <= 0 {
 		return
 	}
@@ -44,8 +46,8 @@
 	f.version++
 }
 
-// correctedMilliseconds returns how long a task with the given estimate is expected to take.
-func (f *forecast) correctedMilliseconds(estimate float64) float64 {
+// CorrectedMilliseconds returns how long a task with the given estimate is expected to take.
+func (f *Forecast) CorrectedMilliseconds(estimate float64) float64 {
 	if f.count == 0 || estimate <= 0 {
 		return estimate
 	}
@@ -55,3 +57,6 @@
 	factor := math.Exp(level + slope*(math.Log(estimate)-meanX))
 	return estimate * max(1/maxForecastFactor, min(maxForecastFactor, factor))
 }
+
+// Version returns the number of completed steps that were observed.
+func (f *Forecast) Version() int { return f.version }
