runtimes, dispatch: learned speeds of workers and a placement score from them

One constant weight of a worker's pace decided which worker a task gets. Where two thirds of the workers run at 0.7 and one third at 1.7 of the nominal speed, urgent checks on slow workers were late although they started at once. Change: runtimes.Speeds learns the speed of each worker with its variance, from finished runs and from the progress of unfinished ones, pooled by kind and rack. runtimes.Placement scores a worker by the expected loss of the job's worth (late after its objective, lost after three times it), from the measured distribution of the queue's run times, and by the opportunity cost of a fast worker, which rises with the utilization of the fast ones.

--- a/dispatch/end.go
+++ b/dispatch/end.go
@@ -14,7 +14,8 @@
 		w.health.observeEnd(r.now, known, end.Kind)
 		if end.Kind == job.EndDone {
 			r.observeRunLength(known)
-			known.step.observeLength(r.now, known)
+			r.observeSpeedAtEnd(known)
+			known.step.observeLength(r.now, known, &r.speeds)
 			r.observeWorkerPace(known)
 		}
 		r.releaseRun(known)
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -350,6 +350,7 @@
 	logRatio := math.Log(min(stalledRatio, expected/max(gained, expected/stalledRatio)))
 	w.health.addEvidence(r.now, s, w, logRatio)
 	s.observePace(w, logRatio)
+	r.observeSpeedInProgress(run)
 	if w.health.slow {
 		w.health.slowUntil = r.now.Add(slowPause)
 	}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -132,6 +132,7 @@
 	endedRuns         int           // number of these runs
 	moveCount         int           // how often runs were moved off slow workers
 	lengths           lengths
+	speedLengths      runtimes.StepLengths
 	rackBlockedSince  time.Time // from when on no rack has had capacity for its tasks; zero before
 }
 
@@ -144,10 +145,11 @@
 	}
 }
 
-// observeLength counts a completed run that started without a checkpoint.
-func (s *stepState) observeLength(now time.Time, run *run) {
+// observeLength counts a completed run that started without a checkpoint, with its length on the
+// average worker.
+func (s *stepState) observeLength(now time.Time, run *run, speeds *runtimes.Speeds) {
 	if !run.resumed {
-		s.totalRunTime += now.Sub(run.orderedAt)
+		s.totalRunTime += speeds.Nominal(run.worker.speed, now.Sub(run.orderedAt))
 		s.endedRuns++
 	}
 }
@@ -204,6 +206,7 @@
 	goneAt         time.Time // when its worker was found to be gone; zero otherwise
 	goneReason     string
 	progress       progress
+	speedObserved  bool // its progress or its end has been added to its worker's speed
 	resumed        bool // from a checkpoint, or adopted from a predecessor
 
 	tailMilliseconds float64   // tail latency of a service, from the last reading
--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -48,6 +48,7 @@
 	duration        time.Duration
 	paces           []float64     // factors on the length of runs, by kind of worker; nil for one kind
 	maxGangFraction float64       // largest fraction of all processors that a gang takes; zero means no limit
+	longFraction    float64       // fraction of the tasks that take seven times as long
 	pollDelay       time.Duration // from the end of a job until its client asks for its state
 	laneCount       int           // instances that request advice; zero means as many as on the standard sites
 	seed            uint64
@@ -131,7 +132,11 @@
 	sim.taskLength = func(id job.TaskID) time.Duration {
 		// The lengths are the same for every policy, so that policies are compared under one
 		// load.
-		return time.Duration(float64(lengths[id.StepID]) * (0.9 + 0.2*hashFraction(id.StepID, job.WorkerID(strconv.Itoa(id.Index)))))
+		length := float64(lengths[id.StepID]) * (0.9 + 0.2*hashFraction(id.StepID, job.WorkerID(strconv.Itoa(id.Index))))
+		if hashFraction(id.StepID, job.WorkerID("long "+strconv.Itoa(id.Index))) < l.longFraction {
+			length *= 7
+		}
+		return time.Duration(length)
 	}
 	allowedFractions := map[job.ID]float64{}
 	failingFractions := map[job.ID]float64{}
--- a/dispatch/move.go
+++ b/dispatch/move.go
@@ -120,7 +120,7 @@
 	if p.at.Sub(p.firstAt) >= minProjectionWindow {
 		return time.Duration(float64(p.projectedLength())*(1-p.percent/100)) - r.now.Sub(p.at)
 	}
-	return scaleByPace(run.step.expectedLength(), &run.worker.pace) - r.now.Sub(run.orderedAt)
+	return r.scaleBySpeed(run.step.expectedLength(), run.worker) - r.now.Sub(run.orderedAt)
 }
 
 // gangCheckpointPercent returns the progress of a gang's furthest checkpoint, or zero if the
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -4,18 +4,11 @@
 	"math"
 	"slices"
 	"time"
-
-	"fuchsiacross/runtimes"
 )
 
 // equalPaceTolerance is the difference up to which two workers count as equally fast.
 const equalPaceTolerance = 0.07
 
-// scaleByPace returns how long something takes at a pace.
-func scaleByPace(duration time.Duration, p *runtimes.Pace) time.Duration {
-	return time.Duration(float64(duration) * p.Factor())
-}
-
 // lengths sums the logarithms of the lengths of a step's completed runs, less the paces of
 // their workers.
 type lengths struct {
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"fuchsiacross/model"
+	"fuchsiacross/runtimes"
 )
 
 const urgentPriority = 0
@@ -16,6 +17,7 @@
 		return
 	}
 	r.needsPass, r.lastPassAt = false, r.now
+	r.refreshSpeeds()
 	r.advice.needsCalls = true
 	complete := r.passes.beginPass(r.now)
 	p := pass{Reducer: r, reserving: complete && r.now.Sub(r.lastReservationAt) >= reserveInterval}
@@ -111,6 +113,7 @@
 	explained           int  // steps whose waiting was logged
 	places              []place
 	choices             []choice
+	placement           runtimes.Placement // of the step that is being placed
 }
 
 // place is a worker with free capacity for a task of a step.
@@ -265,7 +268,7 @@
 			return
 		}
 		if w.reservedFor != nil && w.reservedFor != s && s.job.queue.Priority > urgentPriority &&
-			p.now.Add(scaleByPace(s.expectedLength(), &w.pace)).After(w.reservedUntil) {
+			p.now.Add(p.scaleBySpeed(s.expectedLength(), w)).After(w.reservedUntil) {
 			return
 		}
 		found := place{worker: w, ticket: t, free: w.uncommitted}
@@ -290,6 +293,7 @@
 		p.keepValidTickets(s, missing)
 		p.keepEvenPlaces(s, missing)
 	}
+	p.placement = p.stepPlacement(c)
 	for i := range p.places {
 		p.scorePlace(s, &p.places[i])
 	}
@@ -365,7 +369,6 @@
 // free.
 const (
 	memoryWeight      = 0.2
-	paceWeight        = 0.3
 	remotePenalty     = 2
 	ticketPenalty     = 1
 	unreliablePenalty = 1
@@ -386,7 +389,7 @@
 	}
 	l.score = unused +
 		memoryWeight*float64(left.MemoryBytes)/float64(max(1, w.registration.Capacity.MemoryBytes)) +
-		paceWeight*w.pace.LogFactor
+		p.placement.Score(&w.pace, w.speed)
 	if s.step.DataRack != "" && s.step.DataRack != w.registration.Rack {
 		l.score += remotePenalty
 	}
--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -88,6 +88,7 @@
 type Policy struct {
 	FirstComeFirstServed bool // serve jobs in the order of acceptance
 	UseRawEstimates      bool // do not correct estimates by completed steps
+	EqualSpeeds          bool // place tasks as on workers of equal speed
 	Reservations         int  // blocked steps with reserved workers; zero means a number that grows with the fleet
 }
 
@@ -116,6 +117,7 @@
 
 	queues             map[string]job.Queue
 	forecasts          map[string]*runtimes.Forecast // by queue
+	speeds             runtimes.Speeds
 	jobs               map[job.ID]*jobState
 	storedAdvice       []Progress           // whose advice is not restored yet
 	notifiedBeforeLoad map[job.ID]job.Job   // stored jobs that this leader was notified of before the load
@@ -169,6 +171,7 @@
 		nextRun:            o.Token * runNumbersPerToken,
 		queues:             map[string]job.Queue{},
 		forecasts:          map[string]*runtimes.Forecast{},
+		speeds:             runtimes.Speeds{AssumeEqual: o.Policy.EqualSpeeds},
 		jobs:               map[job.ID]*jobState{},
 		offers:             map[job.ID]*jobState{},
 		workers:            map[job.WorkerID]*worker{},
--- /dev/null
+++ b/dispatch/unevenload_test.go
@@ -0,0 +1,59 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// unevenStalls returns the traffic of the stalls on workers of which two thirds run at 0.7 and
+// one third at 1.7 of the nominal speed, with a heavy tail of run times.
+func unevenStalls(factor float64) workload {
+	l := stallsWorkload()
+	l.paces, l.longFraction = []float64{1 / 0.7, 1 / 0.7, 1 / 1.7}, 0.03
+	// A check of the usual length is late on a slow worker.
+	l.kinds[2].queue.Stretch, l.kinds[2].queue.LatencyMilliseconds = 1.2, 150
+	l.rateFactor = func(string, time.Duration) float64 { return factor }
+	return l
+}
+
+// withEqualSpeeds lets the leader place tasks as on workers of equal speed.
+func withEqualSpeeds(sim *simulation) {
+	sim.options.Policy.EqualSpeeds = true
+	sim.startLeader(sim.options)
+}
+
+var _ = Describe("Uneven load", func() {
+	// Prints the worth with the constant score and with the learned speeds.
+	It("reports the worth of loads on workers of uneven speed", func() {
+		if os.Getenv("DISPATCH_UNEVEN") == "" {
+			Skip("set DISPATCH_UNEVEN to print the worth of loads on workers of uneven speed")
+		}
+		for _, factor := range []float64{0.6, 0.8, 1, 1.2} {
+			fmt.Printf("LOAD constant %.1f %s\n", factor, averageReport(unevenStalls(factor), 10, withEqualSpeeds))
+			fmt.Printf("LOAD learned  %.1f %s\n", factor, averageReport(unevenStalls(factor), 10, nil))
+		}
+	})
+
+	// Urgent checks that started at once on slow workers were late.
+	It("serves more urgent work in time than a constant score", func() {
+		constant := sumResults(replaySeeds(unevenStalls(0.7), 3, withEqualSpeeds))
+		learned := sumResults(replaySeeds(unevenStalls(0.7), 3, nil))
+		Expect(learned.late["checks"]).To(BeNumerically("<", constant.late["checks"]))
+		Expect(learned.total).To(BeNumerically(">", constant.total))
+	})
+
+	// On workers of the usual kinds, a score by learned speeds must not change any placement.
+	It("places tasks as before on workers of similar speed", func() {
+		l := stallsWorkload()
+		l.duration = 15 * time.Second
+		constant := replay(l, withEqualSpeeds)
+		learned := replay(l, nil)
+		Expect(learned.meanWait).To(Equal(constant.meanWait))
+		Expect(learned.served).To(Equal(constant.served))
+		Expect(learned.adviceCalls).To(Equal(constant.adviceCalls))
+	})
+})
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -32,6 +32,7 @@
 	strayLeaseEnd     time.Time    // until when orders for earlier incarnations may have extended it
 	health            health
 	pace              runtimes.Pace
+	speed             *runtimes.Speed
 	fillerThrottle    fillerThrottle
 	orphans           map[runKey]orphanRun
 
@@ -99,6 +100,7 @@
 		r.enrolling[w] = struct{}{}
 	}
 	w.registration, w.registered = registration, true
+	w.describeSpeed()
 	r.needsPass = true
 }
 
@@ -106,7 +108,7 @@
 func (r *Reducer) addWorker(added job.Worker) *worker {
 	w := r.workers[added.ID]
 	if w == nil {
-		w = &worker{registration: added, runs: map[runKey]*run{}}
+		w = &worker{registration: added, runs: map[runKey]*run{}, speed: r.speeds.Join(added.ID)}
 		r.workers[added.ID] = w
 		at, _ := slices.BinarySearchFunc(r.sortedWorkers, added.ID, compareWorker)
 		r.sortedWorkers = slices.Insert(r.sortedWorkers, at, w)
@@ -143,6 +145,7 @@
 	r.usedTokens[w.registration.ID]++ // it may return as another incarnation
 	r.forgetAdviceOn(w)
 	delete(r.workers, w.registration.ID)
+	r.speeds.Leave(w.registration.ID)
 	delete(r.enrolling, w)
 	w.acceptsRuns = false
 	if at, found := slices.BinarySearchFunc(r.sortedWorkers, w.registration.ID, compareWorker); found {
@@ -342,6 +345,7 @@
 		w.wasRead, w.readSoon = false, true
 	}
 	r.awaitConfirmation(r.now)
+	w.speed.Restart(e.Reading.StartTime)
 	w.startTime, w.incarnationAt, w.processedEnd, w.savedEnd = e.Reading.StartTime, r.now, 0, 0
 	w.health, w.pace, w.fillerThrottle, w.orphans, w.unknownEnds = health{}, runtimes.Pace{}, fillerThrottle{}, nil, nil
 }
--- a/runtimes/forecast.go
+++ b/runtimes/forecast.go
@@ -26,6 +26,7 @@
 type Forecast struct {
 	count, sumX, sumZ, sumXX, sumXZ float64
 	version                         int
+	ratios                          Ratios
 }
 
 // Observe adds a completed step and the mean length of its runs.
@@ -60,3 +61,16 @@
 
 // Version returns the number of completed steps that were observed.
 func (f *Forecast) Version() int { return f.version }
+
+// ObserveRun adds the length of a run on the average worker and the length that was expected.
+func (f *Forecast) ObserveRun(expected, length time.Duration) {
+	if expected > 0 && length > 0 {
+		f.ratios.Observe(math.Log(float64(length) / float64(expected)))
+	}
+}
+
+// Spread returns the spread of run times around the expected one, as a logarithm.
+func (f *Forecast) Spread() float64 {
+	_, spread := f.ratios.normal()
+	return spread
+}
