runtimes, dispatch: gangs get workers of similar learned speed

A gang took the fastest workers that sufficed, also when its objective did not need them, and ends with its slowest member. Change: where speeds are uneven, Placement.EvenRange chooses the window of workers with the least cost: expected loss and opportunity cost on the slowest member, and the difference of speed within the window. Uniform fleets keep the present rule. Open constants: waitWeight, evenTolerance.

--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -36,6 +36,9 @@
 // The members of a gang end together, so those on fast workers wait for the slowest one. Of the
 // fastest places that suffice, the slower ones are kept.
 func (p *pass) keepEvenPlaces(s *stepState, missing int) {
+	if p.keepEvenSpeeds(s, missing) {
+		return
+	}
 	slices.SortStableFunc(p.places, func(a, b place) int { return compare(a.worker.pace.LogFactor, b.worker.pace.LogFactor) })
 	capacity, last := 0, 0
 	for ; last < len(p.places) && capacity < missing; last++ {
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -282,6 +282,7 @@
 		total += s.taskCapacity(&found)
 	})
 	p.examinedPlaces += int64(len(p.places))
+	p.placement = p.stepPlacement(c)
 	p.choices = p.choices[:0]
 	if s.step.Gang && total < missing {
 		return nil
@@ -293,7 +294,6 @@
 		p.keepValidTickets(s, missing)
 		p.keepEvenPlaces(s, missing)
 	}
-	p.placement = p.stepPlacement(c)
 	for i := range p.places {
 		p.scorePlace(s, &p.places[i])
 	}
--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"strings"
 	"time"
 
@@ -46,6 +47,24 @@
 	}, s.job.forecast)
 }
 
+// keepEvenSpeeds keeps the places for a gang by the learned speeds. It reports false if these are
+// not in use.
+func (p *pass) keepEvenSpeeds(s *stepState, missing int) bool {
+	if !p.speeds.Uneven() {
+		return false
+	}
+	slices.SortStableFunc(p.places, func(a, b place) int { return compare(a.worker.speed.LogFactor, b.worker.speed.LogFactor) })
+	members := make([]runtimes.Member, len(p.places))
+	for i := range p.places {
+		members[i] = runtimes.Member{Speed: p.places[i].worker.speed, Capacity: s.taskCapacity(&p.places[i])}
+	}
+	first, last, ok := p.placement.EvenRange(members, missing)
+	if ok {
+		p.places = p.places[first:last]
+	}
+	return ok
+}
+
 // speedIsComparable reports whether the length of a run depends on its worker's speed. Runs away
 // from their data take longer.
 func (run *run) speedIsComparable() bool {
--- a/runtimes/speed_test.go
+++ b/runtimes/speed_test.go
@@ -1,9 +1,11 @@
 package runtimes_test
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -203,4 +205,31 @@
 		Expect(runtimes.EndsBy(time.Duration(float64(second)*math.Exp(0.5)), second, 0.5, w)).To(BeNumerically("~", 0.8413, 0.001))
 		Expect(runtimes.EndsBy(-second, second, 0.5, w)).To(BeZero())
 	})
+
+	// A gang ends with its slowest member. On the fastest workers that suffice, it took the
+	// processors that urgent work needed; on mixed ones, the fast members waited.
+	It("gives a gang workers of similar speed, fast ones only if it needs them", func() {
+		f := uneven()
+		use(f, 95)
+		var members []runtimes.Member
+		for _, fast := range []bool{true, false} {
+			for n, w := range f.workers {
+				if (n%3 == 2) == fast {
+					members = append(members, runtimes.Member{Speed: w, Capacity: 1})
+				}
+			}
+		}
+		slices.SortFunc(members, func(a, b runtimes.Member) int { return cmp.Compare(a.Speed.LogFactor, b.Speed.LogFactor) })
+		const fastCount = 10
+		hurried := f.speeds.Placement(runtimes.Need{Expected: second, First: second, Second: 3 * second}, &runtimes.Forecast{})
+		_, last, ok := hurried.EvenRange(members, 8)
+		Expect(ok).To(BeTrue())
+		Expect(last).To(BeNumerically("<=", fastCount))
+		relaxed := f.speeds.Placement(runtimes.Need{Expected: second, First: 20 * second, Second: 60 * second}, &runtimes.Forecast{})
+		first, _, ok := relaxed.EvenRange(members, 8)
+		Expect(ok).To(BeTrue())
+		Expect(first).To(BeNumerically(">=", fastCount))
+		_, _, ok = relaxed.EvenRange(members, 31)
+		Expect(ok).To(BeFalse())
+	})
 })
--- a/runtimes/tuning.go
+++ b/runtimes/tuning.go
@@ -18,6 +18,11 @@
 	// full. Above speedWeight, tasks that are in time anywhere avoid full fast workers.
 	opportunityWeight = 0.8
 	freeUtilization   = 0.6
+	// waitWeight is the cost of the difference of speed between the members of a gang, as a
+	// logarithm. evenTolerance is the difference up to which workers count as equally fast: the
+	// spread of a learned speed.
+	waitWeight    = 1.0
+	evenTolerance = 0.1
 	// firstLoss and secondLoss are the parts of a job's worth that are lost after its objective
 	// and after three times its objective.
 	firstLoss, secondLoss = 0.8, 0.2
