runtimes, dispatch, jobstore: what was learned survives a change of leader

Forecasts and speeds were lost with the leader, so a new one placed urgent work on slow workers until it had learned again. Change: row forecast of the table runtimes in the leader's partition, at most 16,000 bytes, in the transaction of a save that is due anyway, at most every 2 s. It is read with the load. A missing or invalid row is logged (event 886) and the models start empty; a worker's estimate holds only for its incarnation. After a rejected save with the row the term writes it no more. Enrolled workers are added before the jobs at the load, so that jobs are planned with the forecasts. The simulation and the test of jobstore store and check the row as well.

--- a/dispatch/accept.go
+++ b/dispatch/accept.go
@@ -21,6 +21,13 @@
 		}
 		return
 	}
+	for _, enrolment := range e.Workers {
+		known := r.addWorker(enrolment.Worker)
+		known.setEnrolled(enrolment)
+		known.inherited = true
+		delete(r.enrolling, known)
+	}
+	r.restoreRuntimes(e.RunTimes)
 	for _, j := range e.Jobs {
 		r.addJob(j)
 	}
@@ -31,12 +38,6 @@
 		}
 	}
 	r.storedAdvice = e.Progress
-	for _, enrolment := range e.Workers {
-		known := r.addWorker(enrolment.Worker)
-		known.setEnrolled(enrolment)
-		known.inherited = true
-		delete(r.enrolling, known)
-	}
 	r.loaded = true
 	if r.retentionSeconds > 0 {
 		r.removeProgressWithoutJob(e.Progress)
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -18,6 +18,7 @@
 		Progress    []Progress
 		Cancels     []job.ID
 		Workers     []Enrolment
+		RunTimes    []byte // what earlier leaders learned about run times; empty if there is no row
 	}
 	// JobOffered reports a job that is being stored, so that advice is requested early.
 	JobOffered struct{ Job job.Job }
@@ -192,6 +193,7 @@
 	RemovedParts    []ProgressPart
 	Enrolled        []Enrolment
 	Unenrolled      []job.WorkerID
+	RunTimes        []byte // state of the models of run times; empty if it is not written
 }
 
 // Enrolment is the stored record of a worker that may have runs.
@@ -239,6 +241,7 @@
 	NoteProgressRejected
 	NoteRunAdopted
 	NoteStepOverdue
+	NoteRunTimesNotRestored
 	// NoteKindCount is the number of kinds.
 	NoteKindCount
 )
--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -118,6 +118,8 @@
 	queues             map[string]job.Queue
 	forecasts          map[string]*runtimes.Forecast // by queue
 	speeds             runtimes.Speeds
+	runtimesSavedAt    time.Time // when the models of run times were last in a save
+	runtimesRejected   bool      // the store has refused a save with them
 	jobs               map[job.ID]*jobState
 	storedAdvice       []Progress           // whose advice is not restored yet
 	notifiedBeforeLoad map[job.ID]job.Job   // stored jobs that this leader was notified of before the load
--- a/dispatch/save.go
+++ b/dispatch/save.go
@@ -63,6 +63,7 @@
 	n := min(len(r.progressRemovals), maxProgressRemovals)
 	save.RemovedProgress, r.progressRemovals = r.progressRemovals[:n:n], r.progressRemovals[n:]
 	r.addJobProgress(save)
+	r.addRuntimes(save)
 	if len(r.unsavedJobs) == 0 {
 		for _, w := range r.sortedWorkers {
 			r.saveMarks[w] = endMark{w.startTime, w.processedEnd}
@@ -174,6 +175,7 @@
 			r.enrolling[w] = struct{}{}
 		}
 	}
+	r.runtimesRejected = r.runtimesRejected || len(r.openSave.RunTimes) > 0
 	r.unenrolling = append(r.unenrolling, r.openSave.Unenrolled...)
 	r.progressRemovals = append(r.progressRemovals, r.openSave.RemovedProgress...)
 	r.maxSavedJobs = max(1, len(r.savingJobs)/2)
--- a/dispatch/simulation_test.go
+++ b/dispatch/simulation_test.go
@@ -20,6 +20,7 @@
 // tasks, the store that keeps progress and the advice service. It records violations of the
 // scheduling rules.
 type simulation struct {
+	runTimes       []byte            // stored state of the models of run times
 	leader         *leader           // the latest; nil between two leaderships
 	reducer        *dispatch.Reducer // of the latest leader
 	options        dispatch.Options
@@ -325,7 +326,7 @@
 }
 
 func (sim *simulation) storedState() dispatch.JobsLoaded {
-	loaded := dispatch.JobsLoaded{Cancels: sim.cancels, Resubmitted: sim.resubmitted, Workers: slices.Collect(maps.Values(sim.enrolled))}
+	loaded := dispatch.JobsLoaded{Cancels: sim.cancels, Resubmitted: sim.resubmitted, Workers: slices.Collect(maps.Values(sim.enrolled)), RunTimes: sim.runTimes}
 	for _, j := range sim.jobs {
 		if !sim.missingFromLoad[j.ID] && !sim.notStored[j.ID] {
 			loaded.Jobs = append(loaded.Jobs, j)
@@ -494,6 +495,9 @@
 		for _, id := range s.RemovedProgress {
 			delete(sim.progress, id)
 		}
+		if len(s.RunTimes) > 0 {
+			sim.runTimes = s.RunTimes
+		}
 		for _, e := range s.Enrolled {
 			sim.enrolled[e.Worker.ID] = e
 		}
@@ -530,7 +534,8 @@
 		}
 		total += len(encoded)
 	}
-	entries := len(s.Progress) + len(s.RemovedProgress) + len(s.RemovedParts) + len(s.Enrolled) + len(s.Unenrolled) + leaderEntries
+	total += len(s.RunTimes)
+	entries := min(1, len(s.RunTimes)) + len(s.Progress) + len(s.RemovedProgress) + len(s.RemovedParts) + len(s.Enrolled) + len(s.Unenrolled) + leaderEntries
 	if float64(total)*encodedFraction > maxCallBytes || entries > maxCallEntries {
 		sim.addViolation("a save has %d entries with %d bytes", entries, total)
 	}
--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -102,3 +102,6 @@
 	run.speedObserved = true
 	r.speeds.ObserveRun(run.worker.speed, &s.speedLengths, progress.projectedLength(), s.expectedLength(), s.job.forecast.Spread())
 }
+
+// SpeedsUneven reports whether tasks are placed by the learned speeds of workers.
+func (r *Reducer) SpeedsUneven() bool { return r.speeds.Uneven() }
--- a/dispatch/unevenload_test.go
+++ b/dispatch/unevenload_test.go
@@ -56,4 +56,17 @@
 		Expect(learned.served).To(Equal(constant.served))
 		Expect(learned.adviceCalls).To(Equal(constant.adviceCalls))
 	})
+
+	// The load of the shard reaches the successor only with the rows that were stored.
+	It("keeps the learned speeds over a change of leader", func() {
+		l := unevenStalls(0.5)
+		l.duration = 12 * time.Second
+		replay(l, func(sim *simulation) {
+			sim.schedule(10*time.Second, func() {
+				Expect(sim.reducer.SpeedsUneven()).To(BeTrue())
+				sim.loseLeader(500 * time.Millisecond)
+			})
+			sim.schedule(11*time.Second, func() { Expect(sim.reducer.SpeedsUneven()).To(BeTrue()) })
+		})
+	})
 })
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -109,6 +109,7 @@
 	w := r.workers[added.ID]
 	if w == nil {
 		w = &worker{registration: added, runs: map[runKey]*run{}, speed: r.speeds.Join(added.ID)}
+		w.describeSpeed()
 		r.workers[added.ID] = w
 		at, _ := slices.BinarySearchFunc(r.sortedWorkers, added.ID, compareWorker)
 		r.sortedWorkers = slices.Insert(r.sortedWorkers, at, w)
--- a/instance/effects.go
+++ b/instance/effects.go
@@ -193,6 +193,7 @@
 	dispatch.NoteProgressRejected:       logevent.ProgressRejected,
 	dispatch.NoteRunAdopted:             logevent.RunAdopted,
 	dispatch.NoteStepOverdue:            logevent.StepOverdue,
+	dispatch.NoteRunTimesNotRestored:    logevent.RunTimesNotRestored,
 }
 
 func (i *Instance) counter(name string) metrics.Counter {
--- a/jobstore/jobstore.go
+++ b/jobstore/jobstore.go
@@ -44,6 +44,8 @@
 	progressTable         = "progress"
 	workerTable           = "workers" // workers that may have runs of the shard
 	leaderTable           = "leader"
+	runTimesTable         = "runtimes" // what the shard's leaders have learned about run times
+	runTimesKey           = "forecast"
 	leaderPartitionPrefix = "leader-" // followed by the shard
 	leaderKey             = "leader"
 	cancelSuffix          = "/cancel"
@@ -379,7 +381,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(maxParallelReads)
 	const ranges = len(firstIDDigits)
-	const reads = jobPartitions + ranges + 1
+	const reads = jobPartitions + ranges + 2
 	results := make([][]store.Row, reads)
 	versions := make([]int64, reads)
 	for i := range results {
@@ -390,6 +392,8 @@
 				table, partition = s.jobTable, partitionName(uint64(i))
 			case i == reads-1:
 				table = workerTable
+			case i == reads-2:
+				table = runTimesTable
 			default:
 				// All progress is in one partition, which is read in ranges by the
 				// first digit of the job id.
@@ -415,7 +419,12 @@
 	if err := group.Wait(); err != nil {
 		return loaded, 0, err
 	}
-	for _, row := range results[len(results)-1] {
+	for _, row := range results[reads-2] {
+		if row.Key == runTimesKey {
+			loaded.RunTimes = row.Value
+		}
+	}
+	for _, row := range results[reads-1] {
 		w, err := decodeEnrolment(row.Key, row.Value)
 		if err != nil {
 			// It may have runs. Without its address it cannot be read, so that these count
@@ -548,6 +557,9 @@
 		}
 		t.Writes = append(t.Writes, store.Write{Table: workerTable, Key: string(e.Worker.ID), Value: data})
 	}
+	if len(save.RunTimes) > 0 {
+		t.Writes = append(t.Writes, store.Write{Table: runTimesTable, Key: runTimesKey, Value: save.RunTimes})
+	}
 	for _, id := range save.RemovedProgress {
 		t.Removals = append(t.Removals, store.Removal{Table: progressTable, Key: string(id)})
 	}
--- a/jobstore/jobstore_test.go
+++ b/jobstore/jobstore_test.go
@@ -100,13 +100,14 @@
 			{Worker: job.Worker{ID: "i-2", Pool: "p", Address: netip.MustParseAddrPort("10.0.0.2:1")}},
 		}
 		l := jobstore.LeaderRow{Name: "i", Token: 1}
-		written, err := jobs.WriteLeader(ctx, 0, l, &dispatch.Save{Progress: []dispatch.Progress{progress}, Enrolled: workers})
+		written, err := jobs.WriteLeader(ctx, 0, l, &dispatch.Save{Progress: []dispatch.Progress{progress}, Enrolled: workers, RunTimes: []byte("model")})
 		Expect(err).NotTo(HaveOccurred())
 		_, err = jobs.WriteLeader(ctx, written, l, &dispatch.Save{Unenrolled: []job.WorkerID{"i-2"}})
 		Expect(err).NotTo(HaveOccurred())
 		loaded, version, err := jobs.Load(ctx, 0)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(version).To(BeNumerically(">", 0))
+		Expect(loaded.RunTimes).To(Equal([]byte("model")))
 		Expect(loaded.Jobs).To(HaveLen(1))
 		Expect(loaded.Jobs[0].Version).To(BeNumerically(">", 0))
 		loaded.Jobs[0].Version = 0
--- a/runtimes/forecast.go
+++ b/runtimes/forecast.go
@@ -36,7 +36,7 @@
 	}
 	x := math.Log(estimateMilliseconds)
 	z := math.Log(float64(length)/float64(time.Millisecond)) - x
-	for _, sum := range []*float64{&f.count, &f.sumX, &f.sumZ, &f.sumXX, &f.sumXZ} {
+	for _, sum := range f.sums() {
 		*sum *= forecastDecay
 	}
 	f.count++
@@ -47,6 +47,10 @@
 	f.version++
 }
 
+func (f *Forecast) sums() []*float64 {
+	return []*float64{&f.count, &f.sumX, &f.sumZ, &f.sumXX, &f.sumXZ}
+}
+
 // CorrectedMilliseconds returns how long a task with the given estimate is expected to take.
 func (f *Forecast) CorrectedMilliseconds(estimate float64) float64 {
 	if f.count == 0 || estimate <= 0 {
--- a/runtimes/speed_test.go
+++ b/runtimes/speed_test.go
@@ -233,3 +233,57 @@
 		Expect(ok).To(BeFalse())
 	})
 })
+
+var _ = Describe("Stored state", func() {
+	second := time.Second
+
+	// A leader that knew nothing served urgent work on slow workers until it had learned.
+	It("continues with the stored row after a change of leader", func() {
+		f := newFleet(350, 1/0.7, 1/0.7, 1/1.7)
+		f.run(30, 1, f.all()...)
+		queue := &runtimes.Forecast{}
+		for n := range 500 {
+			queue.Observe(1000, time.Duration(1+n%3)*second)
+			queue.ObserveRun(second, time.Duration(1+n%3)*second)
+		}
+		row, err := runtimes.EncodeState(map[string]*runtimes.Forecast{"checks": queue}, &f.speeds)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(len(row)).To(BeNumerically("<=", 16_000))
+		next, queues := newFleet(350, 1, 1, 1), map[string]*runtimes.Forecast{}
+		Expect(runtimes.DecodeState(row, queues, &next.speeds)).To(Succeed())
+		for n, w := range next.workers {
+			start := int64(1)
+			if n == 0 {
+				start = 2
+			}
+			w.Restart(start)
+		}
+		next.speeds.Refresh(next.now)
+		Expect(next.speeds.Uneven()).To(BeTrue())
+		for n := 1; n < 30; n++ {
+			Expect(next.workers[n].LogFactor).To(BeNumerically("~", f.workers[n].LogFactor, 0.1))
+		}
+		// The estimate of an incarnation that is gone is dropped.
+		Expect(next.workers[0].Variance).To(BeNumerically(">", 2*next.workers[3].Variance))
+		Expect(queues["checks"].Spread()).To(BeNumerically("~", queue.Spread(), 0.05))
+		Expect(queues["checks"].CorrectedMilliseconds(1000)).To(BeNumerically("~", queue.CorrectedMilliseconds(1000), 1))
+	})
+
+	It("stores what fits of a fleet that is too large", func() {
+		f := newFleet(2000, 1)
+		f.run(2, 1, f.all()...)
+		row, err := runtimes.EncodeState(nil, &f.speeds)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(len(row)).To(BeNumerically("~", 15_000, 1_000))
+	})
+
+	It("starts empty from an invalid row", func() {
+		queues := map[string]*runtimes.Forecast{}
+		var speeds runtimes.Speeds
+		for _, row := range [][]byte{{0xff}, []byte("text"), {0xa1, 0x01, 0x81, 0xa1, 0x01, 0x61, 'q'}} {
+			Expect(runtimes.DecodeState(row, queues, &speeds)).NotTo(Succeed())
+			Expect(queues).To(BeEmpty())
+		}
+		Expect(runtimes.EncodeState(queues, &speeds)).To(BeEmpty())
+	})
+})
