--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"fuchsiacross/job"
+	"fuchsiacross/runtimes"
 )
 
 // Events that Apply accepts.
@@ -128,6 +129,8 @@
 	Removals []job.ID
 	// Capacity reports where the capacity of the shard is; nil except every few seconds.
 	Capacity *CapacityReport
+	// RunTimes compares predicted and measured run times; nil except every few seconds.
+	RunTimes *runtimes.Report
 	// Notes lists decisions and observations for the log.
 	Notes []Note
 	// LeadershipLost is set when a worker has seen a higher token.
--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -118,6 +118,7 @@
 	queues             map[string]job.Queue
 	forecasts          map[string]*runtimes.Forecast // by queue
 	speeds             runtimes.Speeds
+	reporter           runtimes.Reporter
 	runtimesSavedAt    time.Time // when the models of run times were last in a save
 	runtimesRejected   bool      // the store has refused a save with them
 	jobs               map[job.ID]*jobState
--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -25,6 +25,7 @@
 		}
 	}
 	r.speeds.EndUse(r.now)
+	r.effects.RunTimes = r.reporter.Report(r.now, r.forecasts, &r.speeds)
 }
 
 // scaleBySpeed returns how long something takes on a worker.
--- a/instance/effects.go
+++ b/instance/effects.go
@@ -31,6 +31,9 @@
 	for _, n := range e.Notes {
 		l.instance.logNote(n)
 	}
+	if e.RunTimes != nil {
+		l.shard.logRunTimes(e.RunTimes)
+	}
 	if e.Capacity != nil {
 		l.shard.logCapacity(e.Capacity, time.Now())
 	}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -109,6 +109,7 @@
 	readinessMux.HandleFunc(readinessPath, i.serveReadiness)
 	metricsMux := http.NewServeMux()
 	metricsMux.HandleFunc(metricsPath, i.writeMetrics)
+	metricsMux.HandleFunc(runTimesPath, i.serveRunTimes)
 	listeners := []struct {
 		address netip.AddrPort
 		handler http.Handler
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -164,6 +164,7 @@
 	}
 	l.mu.Unlock()
 	s.clearCapacity()
+	s.clearRunTimes()
 	logevent.LeadershipEnded.Log(s.log, zap.Int64("token", l.token))
 }
 
--- a/instance/shard.go
+++ b/instance/shard.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -11,6 +12,7 @@
 	"fuchsiacross/link"
 	"fuchsiacross/logevent"
 	"fuchsiacross/platform/operator"
+	"fuchsiacross/runtimes"
 	"fuchsiacross/shardmap"
 )
 
@@ -40,7 +42,8 @@
 	table    *shardTable
 	number   int
 	jobs     *jobstore.Store
-	log      *zap.Logger // has the field shard if there are several shards
+	log      *zap.Logger                     // has the field shard if there are several shards
+	runTimes atomic.Pointer[runtimes.Report] // last report of this instance as the leader, or nil
 
 	ownLeadership   *leadership    // nil unless this instance leads
 	leaderConn      *link.Conn     // link to the leader; nil unless another instance leads
--- a/runtimes/codec.go
+++ b/runtimes/codec.go
@@ -129,6 +129,7 @@
 		if known.ratios.total > 0 {
 			known.ratios.unit = 1
 			known.ratios.refresh()
+			known.calibration.predict(&known.ratios)
 		}
 	}
 	f.offset, f.uneven = float64(w.Offset), w.Uneven && !f.AssumeEqual
--- a/runtimes/forecast.go
+++ b/runtimes/forecast.go
@@ -27,6 +27,7 @@
 	count, sumX, sumZ, sumXX, sumXZ float64
 	version                         int
 	ratios                          Ratios
+	calibration                     calibration
 }
 
 // Observe adds a completed step and the mean length of its runs.
@@ -69,7 +70,13 @@
 // ObserveRun adds the length of a run on the average worker and the length that was expected.
 func (f *Forecast) ObserveRun(expected, length time.Duration) {
 	if expected > 0 && length > 0 {
-		f.ratios.Observe(math.Log(float64(length) / float64(expected)))
+		logRatio := math.Log(float64(length) / float64(expected))
+		if f.ratios.known() {
+			f.calibration.observe(logRatio)
+		}
+		if f.ratios.Observe(logRatio) {
+			f.calibration.predict(&f.ratios)
+		}
 	}
 }
 
--- a/runtimes/ratios.go
+++ b/runtimes/ratios.go
@@ -28,10 +28,10 @@
 // again.
 const ratiosPerRefresh = 16
 
-// Observe adds the logarithm of a ratio.
-func (r *Ratios) Observe(logRatio float64) {
+// Observe adds the logarithm of a ratio. It reports whether the quantiles are to be read again.
+func (r *Ratios) Observe(logRatio float64) bool {
 	if math.IsNaN(logRatio) {
-		return
+		return false
 	}
 	if r.unit == 0 {
 		r.unit = 1
@@ -43,9 +43,11 @@
 	if r.unit > maxUnit {
 		r.scale(1 / r.unit)
 	}
-	if r.stale++; r.stale >= ratiosPerRefresh {
-		r.refresh()
+	if r.stale++; r.stale < ratiosPerRefresh {
+		return false
 	}
+	r.refresh()
+	return true
 }
 
 func (r *Ratios) scale(factor float64) {
--- a/runtimes/speed_test.go
+++ b/runtimes/speed_test.go
@@ -287,3 +287,36 @@
 		Expect(runtimes.EncodeState(queues, &speeds)).To(BeEmpty())
 	})
 })
+
+var _ = Describe("Calibration", func() {
+	// A model that is too sure of itself places work on workers that end it late.
+	It("measures as many runs within each quantile as it predicted, with a heavy tail", func() {
+		random := rand.New(rand.NewPCG(5, 6))
+		queue := &runtimes.Forecast{}
+		run := func(count int, factor float64) {
+			for range count {
+				length := factor * math.Exp(0.4*random.NormFloat64())
+				if random.Float64() < 0.03 {
+					length *= 7
+				}
+				queue.ObserveRun(time.Second, time.Duration(length*float64(time.Second)))
+			}
+		}
+		var speeds runtimes.Speeds
+		now := time.UnixMilli(1_700_000_000_000)
+		reporter := runtimes.Reporter{}
+		run(10, 1)
+		Expect(reporter.Report(now, map[string]*runtimes.Forecast{"checks": queue}, &speeds)).To(BeNil())
+		run(3000, 1)
+		report := reporter.Report(now, map[string]*runtimes.Forecast{"checks": queue}, &speeds)
+		Expect(report.Queues).To(HaveLen(1))
+		for _, q := range report.Queues[0].Quantiles {
+			Expect(q.Measured).To(BeNumerically("~", q.Fraction, 0.04), "%v", q)
+		}
+		Expect(reporter.Report(now.Add(9*time.Second), map[string]*runtimes.Forecast{"checks": queue}, &speeds)).To(BeNil())
+		// After a change of the run times the report shows that the prediction fails.
+		run(100, 4)
+		report = reporter.Report(now.Add(10*time.Second), map[string]*runtimes.Forecast{"checks": queue}, &speeds)
+		Expect(report.Queues[0].Quantiles[1].Measured).To(BeNumerically("<", 0.45))
+	})
+})
