--- a/dispatch/unevenload_test.go
+++ b/dispatch/unevenload_test.go
@@ -7,6 +7,9 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"fuchsiacross/dispatch"
+	"fuchsiacross/job"
 )
 
 // unevenStalls returns the traffic of the stalls on workers of which two thirds run at 0.7 and
@@ -69,4 +72,32 @@
 			sim.schedule(11*time.Second, func() { Expect(sim.reducer.SpeedsUneven()).To(BeTrue()) })
 		})
 	})
+
+	// Workers on which runs fail early must not count as fast: they would get all urgent work.
+	It("does not take workers that fail fast for fast ones", func() {
+		sim := newSimulation(12, 16, plain)
+		failing := map[job.WorkerID]bool{"w01": true, "w04": true, "w07": true, "w10": true}
+		for id := range failing {
+			sim.workers[id].pace = 0.4
+		}
+		placed := map[job.TaskID]job.WorkerID{}
+		sim.started = func(s dispatch.StartRun) (bool, time.Duration) {
+			placed[s.Task] = s.Worker.ID
+			return true, 0
+		}
+		failures := 0
+		sim.outcome = func(task job.TaskID, _ int64) job.EndKind {
+			if failing[placed[task]] {
+				failures++
+				return job.EndFailed
+			}
+			return job.EndDone
+		}
+		for n := range 60 {
+			sim.submit(newJob(n, "plain", job.Step{Tasks: 24, Demand: demand(4, 1), EstimateMilliseconds: 150}))
+			sim.advance(300 * time.Millisecond)
+			Expect(sim.reducer.SpeedsUneven()).To(BeFalse())
+		}
+		Expect(failures).To(BeNumerically(">", 30))
+	})
 })
