--- a/dispatch/accept.go
+++ b/dispatch/accept.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"fuchsiacross/job"
+	"fuchsiacross/runtimes"
 )
 
 // loadJobs restores the state of all jobs from the store. A repeated load only adds jobs and
@@ -20,6 +21,13 @@
 		}
 		return
 	}
+	for _, enrolment := range e.Workers {
+		known := r.addWorker(enrolment.Worker)
+		known.setEnrolled(enrolment)
+		known.inherited = true
+		delete(r.enrolling, known)
+	}
+	r.restoreRuntimes(e.RunTimes)
 	for _, j := range e.Jobs {
 		r.addJob(j)
 	}
@@ -31,12 +39,6 @@
 		}
 	}
 	r.storedAdvice = e.Progress
-	for _, enrolment := range e.Workers {
-		known := r.addWorker(enrolment.Worker)
-		known.setEnrolled(enrolment)
-		known.inherited = true
-		delete(r.enrolling, known)
-	}
 	r.loaded = true
 	if r.retentionSeconds > 0 {
 		r.removeProgressWithoutJob(e.Progress)
@@ -178,7 +180,7 @@
 	}
 	f := r.forecasts[j.Queue]
 	if f == nil {
-		f = &forecast{}
+		f = &runtimes.Forecast{}
 		r.forecasts[j.Queue] = f
 	}
 	s := &jobState{job: j, occurrences: map[int64]*occurrence{}, forecast: f}
--- a/dispatch/end.go
+++ b/dispatch/end.go
@@ -14,7 +14,8 @@
 		w.health.observeEnd(r.now, known, end.Kind)
 		if end.Kind == job.EndDone {
 			r.observeRunLength(known)
-			known.step.observeLength(r.now, known)
+			r.observeSpeedAtEnd(known)
+			known.step.observeLength(r.now, known, &r.speeds)
 			r.observeWorkerPace(known)
 		}
 		r.releaseRun(known)
@@ -74,7 +75,7 @@
 	}
 	if s.complete() {
 		if s.endedRuns > 0 && !r.policy.UseRawEstimates {
-			s.job.forecast.observe(s.step.EstimateMilliseconds, s.totalRunTime/time.Duration(s.endedRuns))
+			s.job.forecast.Observe(s.step.EstimateMilliseconds, s.totalRunTime/time.Duration(s.endedRuns))
 		}
 		r.completeStep(s)
 	}
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"fuchsiacross/job"
+	"fuchsiacross/runtimes"
 )
 
 // Events that Apply accepts.
@@ -18,6 +19,7 @@
 		Progress    []Progress
 		Cancels     []CancelAccepted
 		Workers     []Enrolment
+		RunTimes    []byte // what earlier leaders learned about run times; empty if there is no row
 	}
 	// JobOffered reports a job that is being stored, so that advice is requested early.
 	JobOffered struct{ Job job.Job }
@@ -134,6 +136,8 @@
 	// Admission tells which tenants' jobs instances are to refuse; nil except every
 	// admissionInterval, and always without tenants.
 	Admission *Admission
+	// RunTimes compares predicted and measured run times; nil except every few seconds.
+	RunTimes *runtimes.Report
 	// Notes lists decisions and observations for the log.
 	Notes []Note
 	// LeadershipLost is set when a worker has seen a higher token.
@@ -199,6 +203,7 @@
 	RemovedParts    []ProgressPart
 	Enrolled        []Enrolment
 	Unenrolled      []job.WorkerID
+	RunTimes        []byte // state of the models of run times; empty if it is not written
 }
 
 // Enrolment is the stored record of a worker that may have runs.
@@ -249,6 +254,7 @@
 	NoteTenantAtQuota
 	NoteStepAboveQuota
 	NoteShareExceeded
+	NoteRunTimesNotRestored
 	// NoteKindCount is the number of kinds.
 	NoteKindCount
 )
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"fuchsiacross/job"
+	"fuchsiacross/runtimes"
 )
 
 // jobState is a job and the state of its tasks.
@@ -24,7 +25,7 @@
 	rejectedVersion      int64                 // confirmed version when the store refused its progress; zero before
 	objective            time.Duration         // the time from acceptance or due time within which the job is in time
 	remainingTimes       []time.Duration       // expected time from the start of each step to the end of the job
-	forecast             *forecast             // of the job's queue
+	forecast             *runtimes.Forecast    // of the job's queue
 	offeredAt            time.Time             // zero once the job is stored
 	beyondShare          bool                  // its tenant had used up its share when it was accepted
 	planVersion          int                   // version of the forecast that the plan uses
@@ -132,6 +133,7 @@
 	endedRuns         int           // number of these runs
 	moveCount         int           // how often runs were moved off slow workers
 	lengths           lengths
+	speedLengths      runtimes.StepLengths
 	rackBlockedSince  time.Time // from when on no rack has had capacity for its tasks; zero before
 	quotaHeldSince    time.Time // when its tenant's quota first held it back since its last start; zero if it has not
 	atQuota           bool      // the last pass skipped it because of its tenant's quota
@@ -147,10 +149,11 @@
 	}
 }
 
-// observeLength counts a completed run that started without a checkpoint.
-func (s *stepState) observeLength(now time.Time, run *run) {
+// observeLength counts a completed run that started without a checkpoint, with its length on the
+// average worker.
+func (s *stepState) observeLength(now time.Time, run *run, speeds *runtimes.Speeds) {
 	if !run.resumed {
-		s.totalRunTime += now.Sub(run.orderedAt)
+		s.totalRunTime += speeds.Nominal(run.worker.speed, now.Sub(run.orderedAt))
 		s.endedRuns++
 	}
 }
@@ -207,6 +210,7 @@
 	goneAt         time.Time // when its worker was found to be gone; zero otherwise
 	goneReason     string
 	progress       progress
+	speedObserved  bool // its progress or its end has been added to its worker's speed
 	resumed        bool // from a checkpoint, or adopted from a predecessor
 
 	tailMilliseconds float64   // tail latency of a service, from the last reading
--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -28,6 +28,7 @@
 
 	"fuchsiacross/job"
 	"fuchsiacross/quota"
+	"fuchsiacross/runtimes"
 	"fuchsiacross/share"
 )
 
@@ -91,6 +92,7 @@
 type Policy struct {
 	FirstComeFirstServed bool // serve jobs in the order of acceptance
 	UseRawEstimates      bool // do not correct estimates by completed steps
+	EqualSpeeds          bool // place tasks as on workers of equal speed
 	Reservations         int  // blocked steps with reserved workers; zero means a number that grows with the fleet
 }
 
@@ -119,7 +121,11 @@
 	enoughWorkersRead       bool // enough workers have been read to request advice
 
 	queues             map[string]job.Queue
-	forecasts          map[string]*forecast // by queue
+	forecasts          map[string]*runtimes.Forecast // by queue
+	speeds             runtimes.Speeds
+	reporter           runtimes.Reporter
+	runtimesSavedAt    time.Time // when the models of run times were last in a save
+	runtimesRejected   bool      // the store has refused a save with them
 	jobs               map[job.ID]*jobState
 	storedAdvice       []Progress           // whose advice is not restored yet
 	notifiedBeforeLoad map[job.ID]job.Job   // stored jobs that this leader was notified of before the load
@@ -176,7 +182,8 @@
 		token:              o.Token,
 		nextRun:            o.Token * runNumbersPerToken,
 		queues:             map[string]job.Queue{},
-		forecasts:          map[string]*forecast{},
+		forecasts:          map[string]*runtimes.Forecast{},
+		speeds:             runtimes.Speeds{AssumeEqual: o.Policy.EqualSpeeds},
 		jobs:               map[job.ID]*jobState{},
 		offers:             map[job.ID]*jobState{},
 		workers:            map[job.WorkerID]*worker{},
--- a/instance/effects.go
+++ b/instance/effects.go
@@ -31,6 +31,9 @@
 	for _, n := range e.Notes {
 		l.instance.logNote(n)
 	}
+	if e.RunTimes != nil {
+		l.shard.logRunTimes(e.RunTimes)
+	}
 	if e.Capacity != nil {
 		l.shard.logCapacity(e.Capacity, time.Now())
 	}
@@ -199,6 +202,7 @@
 	dispatch.NoteTenantAtQuota:          logevent.TenantAtQuota,
 	dispatch.NoteStepAboveQuota:         logevent.StepAboveQuota,
 	dispatch.NoteShareExceeded:          logevent.ShareExceeded,
+	dispatch.NoteRunTimesNotRestored:    logevent.RunTimesNotRestored,
 }
 
 func (i *Instance) counter(name string) metrics.Counter {
--- a/logevent/list.go
+++ b/logevent/list.go
@@ -145,6 +145,8 @@
 	TenantAtQuota           = Event{881, zapcore.InfoLevel, "tenant at quota", "A step of a tenant is not started, because the tenant would exceed its quota; once in two seconds for each tenant. Detail tells the use, the limit of this leader, and what runs on unread workers may use."}
 	StepAboveQuota          = Event{882, zapcore.WarnLevel, "step above quota", "The configuration has lowered a tenant's quota below what one task or the gang of an accepted step needs: the step waits until the quota is raised or the job cancelled. Once per step and leader."}
 	ShareExceeded           = Event{883, zapcore.InfoLevel, "share exceeded", "Work of a tenant beyond its share has been waiting for more than a second: instances refuse its further jobs beyond the share. Detail names the tenant and the work; age is the expected time until it has started."}
+	RunTimesNotRestored     = Event{886, zapcore.WarnLevel, "run times not restored", "What the former leader learned about run times and the speed of workers cannot be read or written; the models start empty or are not stored. Detail tells the reason."}
+	RunTimesCalibrated      = Event{887, zapcore.InfoLevel, "run times calibrated", "How well run times were predicted, every ten seconds at most: detail tells for each queue which fraction of the runs took at most a multiple of the expected time, beside the predicted fraction. The other fields tell whether workers differ in speed."}
 	IntakeLimited           = Event{890, zapcore.WarnLevel, "intake limited", "Connections or bodies of clients were refused or evicted because a bound on connections, memory or time was reached; count is their number since the last line. The counters intake.refused and intake.evicted tell the causes."}
 )
 
@@ -159,6 +161,6 @@
 	RequestOutcomeUnknown,
 	InstanceStarted, InstanceStopped, SettingsReloaded, SettingsInvalid, StoreUnreachable, StoreReachable, ConfigurationInForce, ConfigurationInvalid, LeadershipClaimed, LeadershipLost, LeadershipEnded, LeadershipClaimFailed, LeadershipReleaseFailed, LeaderFound, LeaderLost, LeaderDelayed, InstanceLinked, InstanceUnlinked, InstanceRowUnreadable, LeadershipYielded, RankUnavailable, LeadershipReleased, PredecessorRunsSettled, ProcessorSpeedChanged, ShardsKnown, ShardsPlanned, ShardsUnavailable, ShardOutsideMap, JobsLoaded, JobUnreadable, JobKnownToLeader, JobFinished, JobCancelled, JobNotRemoved, SaveDelayed, LeaderLoad, LeaderOverloaded, StoreRowUnreadable, RunOrdered, RunRejected, RunUnknown, RunEnded, RunGivenUp, RunMoved, StepWaiting, RunPaced, ProgressRejected, RunAdopted, WorkerRestarted, WorkerUnreachable, WorkerReachable, WorkerHealthChanged, RegistrationUnreadable, AdviceFailed, ShardCapacity, StepOverdue, RequestAnswered, RequestNotServed,
 	KeyRefused, ConfigurationFromLeader, KeysUnconfirmed, KeysConfirmed, TenantAtQuota,
-	StepAboveQuota, ShareExceeded,
-	IntakeLimited,
+	StepAboveQuota, ShareExceeded, RunTimesNotRestored,
+	RunTimesCalibrated, IntakeLimited,
 }
--- a/dispatch/forecast.go
+++ b/runtimes/forecast.go
@@ -1,4 +1,6 @@
-package dispatch
+// Package runtimes learns from finished and running work how long tasks take and how fast workers
+// are, without input or output.
+package runtimes
 
 import (
 	"math"
@@ -18,22 +20,24 @@
 	maxForecastFactor = 10.0
 )
 
-// forecast corrects the estimates of a queue's jobs by the measured lengths of their tasks,
+// Forecast corrects the estimates of a queue's jobs by the measured lengths of their tasks,
 // with a linear regression of the logarithm of the error on the logarithm of the estimate.
 // Where estimates carry little information, the forecast is close to the queue's usual length.
-type forecast struct {
+type Forecast struct {
 	count, sumX, sumZ, sumXX, sumXZ float64
 	version                         int
+	ratios                          Ratios
+	calibration                     calibration
 }
 
-// observe adds a completed step and the mean length of its runs.
-func (f *forecast) observe(estimateMilliseconds float64, length time.Duration) {
+// Observe adds a completed step and the mean length of its runs.
+func (f *Forecast) Observe(estimateMilliseconds float64, length time.Duration) {
 	if estimateMilliseconds <= 0 || length <= 0 {
 		return
 	}
 	x := math.Log(estimateMilliseconds)
 	z := math.Log(float64(length)/float64(time.Millisecond)) - x
-	for _, sum := range []*float64{&f.count, &f.sumX, &f.sumZ, &f.sumXX, &f.sumXZ} {
+	for _, sum := range f.sums() {
 		*sum *= forecastDecay
 	}
 	f.count++
@@ -44,8 +48,12 @@
 	f.version++
 }
 
-// correctedMilliseconds returns how long a task with the given estimate is expected to take.
-func (f *forecast) correctedMilliseconds(estimate float64) float64 {
+func (f *Forecast) sums() []*float64 {
+	return []*float64{&f.count, &f.sumX, &f.sumZ, &f.sumXX, &f.sumXZ}
+}
+
+// CorrectedMilliseconds returns how long a task with the given estimate is expected to take.
+func (f *Forecast) CorrectedMilliseconds(estimate float64) float64 {
 	if f.count == 0 || estimate <= 0 {
 		return estimate
 	}
@@ -55,3 +63,25 @@
 	factor := math.Exp(level + slope*(math.Log(estimate)-meanX))
 	return estimate * max(1/maxForecastFactor, min(maxForecastFactor, factor))
 }
+
+// Version returns the number of completed steps that were observed.
+func (f *Forecast) Version() int { return f.version }
+
+// ObserveRun adds the length of a run on the average worker and the length that was expected.
+func (f *Forecast) ObserveRun(expected, length time.Duration) {
+	if expected > 0 && length > 0 {
+		logRatio := math.Log(float64(length) / float64(expected))
+		if f.ratios.known() {
+			f.calibration.observe(logRatio)
+		}
+		if f.ratios.Observe(logRatio) {
+			f.calibration.predict(&f.ratios)
+		}
+	}
+}
+
+// Spread returns the spread of run times around the expected one, as a logarithm.
+func (f *Forecast) Spread() float64 {
+	_, spread := f.ratios.normal()
+	return spread
+}
