runtimes: a gang without idle tasks needs no workers

Cause: the step of a gang may wait without an idle task after a change of leader, when all its runs have been adopted.

Change: a size of zero chooses no workers, as in the search by pace.

Result: the new spec panics with 'index out of range [-1]' without the check and passes with it.

--- a/runtimes/even.go
+++ b/runtimes/even.go
@@ -9,9 +9,9 @@
 // EvenRange chooses the workers for a gang of a size among members in the order of their
 // LogFactor, fastest first, as an index range. The members of a gang end together: the slowest
 // worker determines whether the job is late, and faster ones wait for it. It reports false if
-// workers are uniform or have too little room.
+// workers are uniform or have too little room, or if the size is zero.
 func (p *Placement) EvenRange(members []Member, size int) (first, last int, ok bool) {
-	if !p.uneven {
+	if !p.uneven || size <= 0 {
 		return 0, 0, false
 	}
 	least, capacity, end := 0.0, 0, 0
--- a/runtimes/speed_test.go
+++ b/runtimes/speed_test.go
@@ -232,6 +232,16 @@
 		_, _, ok = relaxed.EvenRange(members, 31)
 		Expect(ok).To(BeFalse())
 	})
+
+	// After a change of leader, the step of a gang whose runs were all adopted has no idle task.
+	// The search for its workers ended the process of the new leader.
+	It("chooses no workers for a gang without idle tasks", func() {
+		f := uneven()
+		members := []runtimes.Member{{Speed: f.workers[2], Capacity: 1}, {Speed: f.workers[0], Capacity: 1}}
+		p := f.speeds.Placement(runtimes.Need{Expected: second, First: second, Second: 3 * second}, &runtimes.Forecast{})
+		_, _, ok := p.EvenRange(members, 0)
+		Expect(ok).To(BeFalse())
+	})
 })
 
 var _ = Describe("Stored state", func() {
