--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -256,7 +256,8 @@
 			return func() {}
 		}
 		c.recordEvent("splitting %s, leader of shard %d, with runners %v", c.processes[leader].name, shard, slices.Sorted(maps.Keys(beside)))
-		return c.disturbing(c.split(leader, beside), allBlocked, c.processes...)
+		restore := c.disturbing(c.split(leader, beside), storeBlocked, c.processes[leader])
+		return c.disturbing(restore, leaderBlocked, c.processes...)
 	}},
 }
 
