startwindow, dispatch: halve the window of pending starts while starts are overdue

Cause: with a saturated link, the leader went on sending as many starts as its processor allows; 1,000 of them timed out within two seconds and their runs were done twice.

Change: the window of pending starts moves from dispatch/window.go to the package startwindow. Its limit is halved while more than a tenth of at least 20 starts of the last two seconds have no answer within 250 ms. It is halved once only: with half of the orders unanswered by failing workers, a window that closed made half of the jobs fail (dispatch, 'are not reduced when half of the orders get no answer').

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"fuchsiacross/job"
+	"fuchsiacross/startwindow"
 )
 
 // jobState is a job and the state of its tasks.
@@ -192,9 +193,9 @@
 	step           *stepState
 	worker         *worker
 	orderedAt      time.Time
-	ticketless     bool      // its start carries no ticket
-	awaitsAnswer   bool      // its start is pending in the start window
-	presentSince   time.Time // when its worker first confirmed it; zero before
+	ticketless     bool               // its start carries no ticket
+	start          *startwindow.Start // nil if another leader started it
+	presentSince   time.Time          // when its worker first confirmed it; zero before
 	stopping       bool
 	stopSentAt     time.Time // time of the last stop order
 	stopAnsweredAt time.Time // when a stop order was answered; zero before
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -46,7 +46,7 @@
 		if c.step.job.uncertain && !settled || !r.mayStartTasks(c.step.job) {
 			continue
 		}
-		if !r.starts.hasCapacity(r.now) {
+		if !r.starts.HasCapacity(r.now) {
 			// A later pass continues with complete reservations.
 			r.needsPass = true
 			r.lastReservationAt = time.Time{}
--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -27,6 +27,7 @@
 	"time"
 
 	"fuchsiacross/job"
+	"fuchsiacross/startwindow"
 )
 
 const (
@@ -151,7 +152,7 @@
 	openSave     *Save // the save without a result, or nil
 	lastSaveAt   time.Time
 
-	starts startWindow
+	starts startwindow.Window
 	advice advisor
 
 	now     time.Time
@@ -179,7 +180,7 @@
 		withdrawnJobs:      map[job.ID]struct{}{},
 		unsavedJobs:        map[*jobState]struct{}{},
 		firstLeader:        o.FirstLeader,
-		starts:             newStartWindow(o.MaxPendingStarts),
+		starts:             startwindow.New(o.MaxPendingStarts),
 		advice:             newAdvisor(),
 	}
 	if !o.FirstLeader {
--- a/dispatch/start.go
+++ b/dispatch/start.go
@@ -24,7 +24,7 @@
 	}
 
 	ordered.resumed = checkpoint != ""
-	r.starts.add(ordered)
+	ordered.start = r.starts.Add(r.now)
 	r.effects.Starts = append(r.effects.Starts, StartRun{
 		Worker: w.registration, Token: ordered.token, Task: ordered.task, Run: number, Spec: s.job.job.Definition.Spec,
 		Checkpoint: checkpoint, Ticket: ticket, Deadline: w.toWorkerClock(end),
@@ -59,7 +59,7 @@
 	if e.Clock != 0 && w.showsRestart(e.Clock, ordered.orderedAt, r.now) {
 		r.suspectRestart(w)
 	}
-	r.starts.release(ordered)
+	r.starts.Answer(ordered.start, r.now)
 	note := Note{Job: e.Task.Job, Task: e.Task, Run: e.Run, Worker: e.Worker}
 	switch {
 	case e.Err != nil && !e.NotExecuted:
