election, instance: let a leader yield again after a delay

Cause: a leader yielded once only, or after a change of its own speed. It kept the leadership when a larger instance joined later or became normal again.

Change: it may yield again after 10 s, doubled with each further time up to 80 s (election.Handovers). The log names the successor and both capacities.

--- a/instance/leader.go
+++ b/instance/leader.go
@@ -142,9 +142,12 @@
 			lastTick = now
 			l.applyEvents(reducer, lastTick, dispatch.Tick{})
 			l.load.report(s.log, time.Now())
-			if s.canYield(lastTick, termStart) && l.hasLargerMember() {
-				s.recordYield()
-				logevent.LeadershipYielded.Log(s.log, zap.Int64("token", l.token), zap.Float64("capacity", s.availableCapacity()))
+			if !s.canYield(lastTick, termStart) {
+				continue
+			}
+			if name, capacity := l.largerMember(); name != "" {
+				s.recordYield(lastTick)
+				logevent.LeadershipYielded.Log(s.log, zap.Int64("token", l.token), zap.Float64("capacity", s.availableCapacity()), zap.String("successor", name), zap.Float64("successor_capacity", capacity))
 				go l.resign()
 			}
 		}
@@ -343,17 +346,18 @@
 	return n
 }
 
-// hasLargerMember reports whether a linked instance can lead much more than this one.
-func (l *leadership) hasLargerMember() bool {
-	capacity := l.shard.availableCapacity()
+// largerMember returns the linked instance with the largest capacity if it can lead much more
+// than this one, and an empty name otherwise.
+func (l *leadership) largerMember() (name string, capacity float64) {
+	threshold := l.shard.availableCapacity() * yieldFactor
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, m := range l.members {
-		if m.conn != nil && m.capacity > capacity*yieldFactor {
-			return true
+	for memberName, m := range l.members {
+		if m.conn != nil && m.capacity > max(threshold, capacity) {
+			name, capacity = memberName, m.capacity
 		}
 	}
-	return false
+	return name, capacity
 }
 
 func (l *leadership) postConfiguration(c *job.Configuration) {
--- a/instance/leader_test.go
+++ b/instance/leader_test.go
@@ -59,3 +59,21 @@
 		Expect(fast.leaderCapacity(1, 0)).To(Equal(0.4))
 	})
 })
+
+var _ = Describe("A leader", func() {
+	// A leader that yields to an instance of nearly equal capacity would get the leadership
+	// back at once.
+	It("yields only to a linked instance that can lead much more", func() {
+		linked := &link.Conn{}
+		s := &shard{instance: &Instance{settings: Settings{ProcessorShare: 0.4}}, table: &shardTable{}}
+		l := &leadership{shard: s, members: map[string]*member{
+			"equal": {capacity: 0.5, conn: linked}, "apart": {capacity: 0.9},
+		}}
+		name, _ := l.largerMember()
+		Expect(name).To(BeEmpty())
+		l.members["large"], l.members["largest"] = &member{capacity: 0.6, conn: linked}, &member{capacity: 0.8, conn: linked}
+		name, capacity := l.largerMember()
+		Expect(name).To(Equal("largest"))
+		Expect(capacity).To(Equal(0.8))
+	})
+})
--- a/instance/shard.go
+++ b/instance/shard.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"fuchsiacross/election"
 	"fuchsiacross/job"
 	"fuchsiacross/jobstore"
 	"fuchsiacross/link"
@@ -42,15 +43,15 @@
 	jobs     *jobstore.Store
 	log      *zap.Logger // has the field shard if there are several shards
 
-	ownLeadership   *leadership    // nil unless this instance leads
-	leaderConn      *link.Conn     // link to the leader; nil unless another instance leads
-	token           int64          // token of the last known leader, which may be this instance
-	leaderHeardAt   time.Time      // time of the leader's last hello or confirmation; zero without a leader
-	leaderWriteTime time.Duration  // duration of the leader's last write to the store
-	leaderRelease   *leaderRelease // the leader's release that the election has not handled yet; nil if there is none
-	successionRank  int64          // number of instances that are to claim before this one
-	hasYielded      bool           // this instance has yielded to one that can lead more since its own speed last changed
-	unreportedJobs  []link.Message // notifications of jobs that were stored while no leader was known
+	ownLeadership   *leadership        // nil unless this instance leads
+	leaderConn      *link.Conn         // link to the leader; nil unless another instance leads
+	token           int64              // token of the last known leader, which may be this instance
+	leaderHeardAt   time.Time          // time of the leader's last hello or confirmation; zero without a leader
+	leaderWriteTime time.Duration      // duration of the leader's last write to the store
+	leaderRelease   *leaderRelease     // the leader's release that the election has not handled yet; nil if there is none
+	successionRank  int64              // number of instances that are to claim before this one
+	handovers       election.Handovers // of this instance, since its own speed last changed
+	unreportedJobs  []link.Message     // notifications of jobs that were stored while no leader was known
 }
 
 // leaderRelease is a leader's notice that it has released the leadership.
--- a/instance/speed.go
+++ b/instance/speed.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"fuchsiacross/election"
 	"fuchsiacross/leadercapacity"
 	"fuchsiacross/link"
 	"fuchsiacross/logevent"
@@ -32,7 +33,7 @@
 		i.mu.Lock()
 		i.slowdown, i.slowdownChangedAt = monitor.Slowdown(), time.Now()
 		for _, s := range i.shards() {
-			s.hasYielded = false
+			s.handovers = election.Handovers{}
 		}
 		i.mu.Unlock()
 		logevent.ProcessorSpeedChanged.Log(i.log, zap.Float64("slowdown", monitor.Slowdown()), zap.Duration("best", monitor.BestMedian()))
@@ -49,22 +50,22 @@
 }
 
 // canYield reports whether a leader whose term began at termStart may yield to an instance
-// that can lead more. It may do so once, and again after each change of its own
-// speed.
+// that can lead more. It may do so again after each change of its own speed, and otherwise
+// after a delay that grows with each time.
 func (s *shard) canYield(now, termStart time.Time) bool {
 	s.instance.mu.Lock()
 	defer s.instance.mu.Unlock()
 	if s.instance.slowdown > 1 {
-		return !s.hasYielded && now.Sub(termStart) > slowYieldDelay && now.Sub(s.instance.slowdownChangedAt) > slowYieldDelay
+		return s.handovers.Allows(now) && now.Sub(termStart) > slowYieldDelay && now.Sub(s.instance.slowdownChangedAt) > slowYieldDelay
 	}
-	return !s.hasYielded && now.Sub(termStart) > yieldDelay
+	return s.handovers.Allows(now) && now.Sub(termStart) > yieldDelay
 }
 
 // recordYield records that this instance yields the leadership.
-func (s *shard) recordYield() {
+func (s *shard) recordYield(now time.Time) {
 	s.instance.mu.Lock()
 	defer s.instance.mu.Unlock()
-	s.hasYielded = true
+	s.handovers.Record(now)
 }
 
 // availableCapacity returns the share of a full shard's load that this instance can lead for
--- a/instance/speed_test.go
+++ b/instance/speed_test.go
@@ -20,4 +20,14 @@
 		rank, _ := old.shards()[0].claimRank()
 		Expect(rank).To(BeNumerically(">=", slowProcessorRanks))
 	})
+
+	// A leader yielded once only: it kept the leadership although a larger instance had
+	// become normal again.
+	It("allows a leader to yield again later", func() {
+		s := &shard{instance: &Instance{}}
+		now := time.Now()
+		s.recordYield(now)
+		Expect(s.canYield(now.Add(9*time.Second), now.Add(-time.Minute))).To(BeFalse())
+		Expect(s.canYield(now.Add(11*time.Second), now.Add(-time.Minute))).To(BeTrue())
+	})
 })
--- a/logevent/list.go
+++ b/logevent/list.go
@@ -99,7 +99,7 @@
 	InstanceLinked          = Event{828, zapcore.InfoLevel, "instance linked", "The link to another instance is open."}
 	InstanceUnlinked        = Event{829, zapcore.WarnLevel, "instance unlinked", "The link to another instance has closed and is opened again."}
 	InstanceRowUnreadable   = Event{830, zapcore.ErrorLevel, "instance row unreadable", "The row of an instance cannot be decoded and is ignored."}
-	LeadershipYielded       = Event{831, zapcore.InfoLevel, "leadership yielded", "A linked instance can lead much more; this one gives up the leadership, but only once. Capacity is the share of a full shard's load that this instance can lead."}
+	LeadershipYielded       = Event{831, zapcore.InfoLevel, "leadership yielded", "Successor, a linked instance, can lead much more; this one gives up the leadership, again after 10 to 80 s at the earliest. Capacity and successor_capacity are the shares of a full shard's load that both can lead."}
 	RankUnavailable         = Event{832, zapcore.WarnLevel, "rank unknown", "The registered instances cannot be read; this one claims the leadership as if it were the largest."}
 	LeadershipReleased      = Event{833, zapcore.InfoLevel, "leadership released", "The leader has given up the leadership; its successor claims it immediately."}
 	PredecessorRunsSettled  = Event{834, zapcore.InfoLevel, "predecessor's runs settled", "Every run of the predecessor is accounted for, so tasks of its jobs can start again. Age is the time since the registrations were read."}
