--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -30,6 +30,7 @@
 	"fuchsiacross/quota"
 	"fuchsiacross/runtimes"
 	"fuchsiacross/share"
+	"fuchsiacross/startwindow"
 )
 
 const (
@@ -164,7 +165,7 @@
 	openSave     *Save // the save without a result, or nil
 	lastSaveAt   time.Time
 
-	starts startWindow
+	starts startwindow.Window
 	advice advisor
 	quota  *quota.Ledger
 	shares *share.Meter
@@ -195,7 +196,7 @@
 		withdrawnJobs:      map[job.ID][]string{},
 		unsavedJobs:        map[*jobState]struct{}{},
 		firstLeader:        o.FirstLeader,
-		starts:             newStartWindow(o.MaxPendingStarts),
+		starts:             startwindow.New(o.MaxPendingStarts),
 		advice:             newAdvisor(),
 		quota:              quota.NewLedger(),
 		shares:             share.NewMeter(o.LeaderCount),
--- a/instance/shard.go
+++ b/instance/shard.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"fuchsiacross/election"
 	"fuchsiacross/job"
 	"fuchsiacross/jobstore"
 	"fuchsiacross/link"
@@ -47,15 +48,15 @@
 	// tenantGauges are the names of the tenants' gauges; only the goroutine of the term uses them.
 	tenantGauges map[string]struct{}
 
-	ownLeadership   *leadership    // nil unless this instance leads
-	leaderConn      *link.Conn     // link to the leader; nil unless another instance leads
-	token           int64          // token of the last known leader, which may be this instance
-	leaderHeardAt   time.Time      // time of the leader's last hello or confirmation; zero without a leader
-	leaderWriteTime time.Duration  // duration of the leader's last write to the store
-	leaderRelease   *leaderRelease // the leader's release that the election has not handled yet; nil if there is none
-	successionRank  int64          // number of instances that are to claim before this one
-	hasYielded      bool           // this instance has yielded to one that can lead more since its own speed last changed
-	unreportedJobs  []link.Message // notifications of jobs that were stored while no leader was known
+	ownLeadership   *leadership        // nil unless this instance leads
+	leaderConn      *link.Conn         // link to the leader; nil unless another instance leads
+	token           int64              // token of the last known leader, which may be this instance
+	leaderHeardAt   time.Time          // time of the leader's last hello or confirmation; zero without a leader
+	leaderWriteTime time.Duration      // duration of the leader's last write to the store
+	leaderRelease   *leaderRelease     // the leader's release that the election has not handled yet; nil if there is none
+	successionRank  int64              // number of instances that are to claim before this one
+	handovers       election.Handovers // of this instance, since its own speed last changed
+	unreportedJobs  []link.Message     // notifications of jobs that were stored while no leader was known
 }
 
 // leaderRelease is a leader's notice that it has released the leadership.
