--- a/soak/clients_test.go
+++ b/soak/clients_test.go
@@ -205,6 +205,7 @@
 		c.reportViolation("encode job: %v", err)
 	}
 	c.cluster.recorder.DeclareJob(id, declared)
+	c.cluster.recorder.DeclareTenant(id, tenantName(tenant))
 	j := &submission{id: id, path: path + id, tenant: tenant, body: body}
 	c.mu.Lock()
 	c.jobs = append(c.jobs, j)
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -69,6 +69,9 @@
 		store: standin.NewStore(), recorder: standin.NewRecorder(nil), keys: newKeyRing(seed), splitLinks: map[*linkstandin.Link]bool{},
 	}
 	DeferCleanup(c.store.Close)
+	for tenant := range limitedTenants {
+		c.recorder.LimitTenant(tenantName(tenant), tenantLimitMilliCPU)
+	}
 	advice := standin.NewAdviceServer(c.recorder, c.allowsStep)
 	DeferCleanup(advice.Close)
 	c.writeConfiguration()
--- a/soak/keys_test.go
+++ b/soak/keys_test.go
@@ -11,6 +11,8 @@
 
 const (
 	tenantCount         = 4
+	limitedTenants      = 2      // the first ones; their clients submit more than their limit for a while
+	tenantLimitMilliCPU = 16_000 // of 128,000
 	keyCharacters       = "abcdefghijklmnopqrstuvwxyz0123456789"
 	keyLength           = 20
 	minKeyChangePause   = 800 * time.Millisecond
@@ -82,7 +84,11 @@
 				texts = append(texts, key.text)
 			}
 		}
-		tenants = append(tenants, map[string]any{"Name": fmt.Sprintf("t%d", tenant), "ApiKeys": texts, "Weight": 1 + tenant})
+		wire := map[string]any{"Name": tenantName(tenant), "ApiKeys": texts, "Weight": 1 + tenant}
+		if tenant < limitedTenants {
+			wire["MaxCount"] = map[string]int{"Cpu": tenantLimitMilliCPU}
+		}
+		tenants = append(tenants, wire)
 	}
 	return tenants
 }
@@ -220,6 +226,8 @@
 	}
 }
 
+func tenantName(tenant int) string { return fmt.Sprintf("t%d", tenant) }
+
 func otherTenant(tenant int) int { return (tenant + 1) % tenantCount }
 
 // probeTenant asks now and then for the state of a job with a key of another tenant, and
