share: instances refuse only what is certainly beyond a share

Cause: an instance metered its part of a tenant's jobs with the weight divided by the number of instances.

Change: the whole weight counts at each instance. A job beyond it is beyond the share whatever the other instances got. The message needs no number of instances.

--- a/instance/member.go
+++ b/instance/member.go
@@ -150,7 +150,7 @@
 		isLeader := s.leaderConn == c
 		i.mu.Unlock()
 		if isLeader {
-			i.gate.Announce(s.number, share.Announcement{Refusals: m.Refusals, Instances: int(m.Count), At: now})
+			i.gate.Announce(s.number, share.Announcement{Refusals: m.Refusals, At: now})
 		}
 	case link.KindLeadershipReleased:
 		i.mu.Lock()
--- a/instance/tenantquota.go
+++ b/instance/tenantquota.go
@@ -47,28 +47,15 @@
 func (l *leadership) announceAdmission(a *dispatch.Admission) {
 	l.mu.Lock()
 	l.admission = a
-	instances := l.takingJobs()
 	l.mu.Unlock()
-	l.instance.gate.Announce(l.shard.number, share.Announcement{Refusals: a.Refusals, Instances: instances, At: time.Now()})
-}
-
-// takingJobs returns the number of instances that take jobs: this one and the linked ones. The
-// caller holds the mutex.
-func (l *leadership) takingJobs() int {
-	n := 1
-	for _, m := range l.members {
-		if m.conn != nil {
-			n++
-		}
-	}
-	return n
+	l.instance.gate.Announce(l.shard.number, share.Announcement{Refusals: a.Refusals, At: time.Now()})
 }
 
 // sendAdmission sends what a linked instance is to refuse. The caller holds the mutex.
 func (l *leadership) sendAdmission(c *link.Conn) {
 	if l.admission != nil {
 		c.Send(link.Message{
-			Kind: link.KindAdmission, Shard: l.shard.number, Token: l.token, Count: int64(l.takingJobs()), Refusals: l.admission.Refusals,
+			Kind: link.KindAdmission, Shard: l.shard.number, Token: l.token, Refusals: l.admission.Refusals,
 		})
 	}
 }
--- a/link/link.go
+++ b/link/link.go
@@ -70,7 +70,7 @@
 	KindProcessorShare                           // instance: how much it can lead
 	KindConfigurationRequest                     // instance: requests a configuration that is newer than Version
 	KindConfigurationResponse                    // leader: the version that it has, in Data if newer; Known if it has confirmed it at the store
-	KindAdmission                                // leader: the tenants whose jobs beyond their share are to be refused; Count is the number of instances
+	KindAdmission                                // leader: the tenants whose jobs beyond their share are to be refused
 )
 
 // Message is a message between a leader and an instance. Its kind determines which
--- a/share/admission.go
+++ b/share/admission.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// patience is how long work beyond a share waits before further jobs beyond it are refused.
-	patience = time.Second
+	// refusalDelay is how long work beyond a share waits before further jobs beyond it are refused.
+	refusalDelay = time.Second
 	// announcementLifetime is how long a leader's announcement counts. Leaders repeat it with their
 	// confirmations, to remote instances once a second.
 	announcementLifetime = 2 * time.Second
@@ -36,7 +36,7 @@
 }
 
 // Refusals returns the tenants with work beyond their share that has waited for longer than
-// patience, sorted by name. The wait is that work divided by the tenant's part of the processors
+// refusalDelay, sorted by name. The wait is that work divided by the tenant's part of the processors
 // that work within the shares leaves.
 func Refusals(now time.Time, waiting []Waiting, processors float64) []Refusal {
 	weights := 0.0
@@ -45,7 +45,7 @@
 	}
 	var list []Refusal
 	for _, w := range waiting {
-		if now.Sub(w.Since) <= patience {
+		if now.Sub(w.Since) <= refusalDelay {
 			continue
 		}
 		wait := maxWait
@@ -60,9 +60,8 @@
 
 // Announcement is what the leader of a shard last told an instance.
 type Announcement struct {
-	Refusals  []Refusal
-	Instances int // that take jobs: the leader's and those linked to it
-	At        time.Time
+	Refusals []Refusal
+	At       time.Time
 }
 
 // Gate decides at an instance which jobs are refused early. It is safe for concurrent use.
@@ -84,8 +83,10 @@
 }
 
 // Refuse counts a job of a tenant for a shard, and returns whether it is to be refused and after
-// what time the client may try again. An instance sees a part of each tenant's jobs only, so that
-// it divides the weights by the number of instances.
+// what time the client may try again. An instance sees only a part of each tenant's jobs. It
+// refuses those beyond the whole share in its part, which are beyond the share in any case: with
+// the weight divided by the number of instances, an eighth of the jobs within the shares were
+// refused, since the connections of clients are spread unevenly.
 func (g *Gate) Refuse(now time.Time, c *job.Configuration, tenant string, shard int) (retryAfter time.Duration, refused bool) {
 	if tenant == "" || c == nil || len(c.Tenants) == 0 {
 		return 0, false
@@ -96,13 +97,6 @@
 		g.configuration = c
 		g.meter.Configure(c.Tenants)
 	}
-	instances := 1
-	for _, a := range g.announcements {
-		if now.Sub(a.At) <= announcementLifetime {
-			instances = max(instances, a.Instances)
-		}
-	}
-	g.meter.SetParts(instances)
 	if g.meter.Within(tenant, now) {
 		return 0, false
 	}
--- a/share/meter.go
+++ b/share/meter.go
@@ -37,9 +37,6 @@
 	return &Meter{parts: float64(max(1, parts)), buckets: map[string]*bucket{}}
 }
 
-// SetParts changes the number of parts.
-func (m *Meter) SetParts(parts int) { m.parts = float64(max(1, parts)) }
-
 // Configure sets the weights of the tenants. A tenant that is no longer configured has no share
 // of its own: its jobs are within, as those of no tenant.
 func (m *Meter) Configure(tenants []job.Tenant) {
