dispatch: work within the shares is served by deadline

Cause: steps of equal grade and priority were interleaved by the use of their tenants before their deadlines. Under overload this undid the order of late work, and cost the leader time for each of 1,500 waiting steps.

Change: only steps beyond the shares are interleaved. Within them the deadline decides, as in deployments without tenants.

--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -98,7 +98,8 @@
 }
 
 // sortCandidates sorts the waiting steps: jobs within their tenant's share come first, then jobs
-// that can be in time, then by priority, by the use of their tenants and by deadline. Late jobs all earn the same fraction of their worth. Those that
+// that can be in time, then by priority and by deadline; beyond the shares, the use of the tenants
+// goes before the deadline. Late jobs all earn the same fraction of their worth. Those that
 // are late by the smallest part of their objective come first: under lasting overload the
 // others would end too late. The order does not depend on the size of a job, since the largest
 // would otherwise be served only when no other waits. Steps that have been passed over for too
--- a/dispatch/tenantshare.go
+++ b/dispatch/tenantshare.go
@@ -26,11 +26,17 @@
 	}
 }
 
-// interleaveTenants sorts the steps of equal grade and priority by the use of their tenants.
+// interleaveTenants sorts the steps beyond their tenants' shares that have equal grade and priority
+// by the use of their tenants. Steps within the shares keep the order of their deadlines: under
+// overload, an order by use let twice as many urgent jobs end too late.
 func (r *Reducer) interleaveTenants(list []candidate) {
 	if !r.shares.Active() {
 		return
 	}
+	first := slices.IndexFunc(list, func(c candidate) bool { return c.beyond })
+	if first < 0 {
+		return
+	}
 	total := model.Resources{}
 	for _, w := range r.sortedWorkers {
 		if w.acceptsRuns {
@@ -38,7 +44,7 @@
 		}
 	}
 	usage := map[string]share.Usage{}
-	for from := 0; from < len(list); {
+	for from := first; from < len(list); {
 		to := from + 1
 		for to < len(list) && list[to].isEqualRank(&list[from]) {
 			to++
