--- a/measure/capacity.go
+++ b/measure/capacity.go
@@ -69,6 +69,7 @@
 	writeRoleTable(&b)
 	b.WriteString(limitsSection)
 	b.WriteString(platformSection)
+	b.WriteString(leaderSection)
 	return b.String()
 }
 
