platform/client: a client that is still sending gets the refusal of its body

Cause: a body over the limit is refused before it is read, and the connection is closed. With bytes unread, the client gets a reset instead of status 413.

instance: withTenants of the tests wrote to a configuration in use since the merge of keys (race detector); it copies it.

--- a/instance/tenantquota_test.go
+++ b/instance/tenantquota_test.go
@@ -16,7 +16,9 @@
 // withTenants puts a configuration with tenants in force at an instance.
 func withTenants(i *Instance, tenants ...job.Tenant) {
 	c := *i.configuration.Load()
-	c.Tenants = tenants
+	changed := *c.Configuration
+	changed.Tenants = tenants
+	c.Configuration = &changed
 	i.configuration.Store(&c)
 }
 
--- a/intake/budget.go
+++ b/intake/budget.go
@@ -37,6 +37,10 @@
 	RetryAfter time.Duration
 }
 
+// CanDiscardRest reports whether the rest of the body may be read and dropped, so that its sender gets
+// the response: the body was not refused for being slow.
+func (r *Refusal) CanDiscardRest() bool { return r.Cause == CauseTooLarge || r.Cause == CauseBudget }
+
 func (r *Refusal) Error() string {
 	texts := []struct {
 		cause Cause
