cmd/fuchsiacross-instance, deploy: optional settings come from the environment

Cause: the template of the settings file named fields that only some deployments have (Limits.LinkMbps, Limits.MaxFds, Contracts, Bounds.RevokeStrict, Bounds.RevokeMs).

The settings file may still have the fields.

--- a/cmd/fuchsiacross-instance/main.go
+++ b/cmd/fuchsiacross-instance/main.go
@@ -51,7 +51,7 @@
 		fmt.Fprintf(os.Stderr, "--row-bytes: must be at least %d\n", minRowBytes)
 		return commandline.ExitUsage
 	}
-	s, err := instance.LoadSettings(o.Settings)
+	s, err := loadSettings(o.Settings)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return commandline.ExitUsage
@@ -79,7 +79,7 @@
 		if received != syscall.SIGHUP {
 			break
 		}
-		next, err := instance.LoadSettings(o.Settings)
+		next, err := loadSettings(o.Settings)
 		if err != nil {
 			logevent.SettingsInvalid.Log(log, zap.Error(err))
 			continue
@@ -90,3 +90,12 @@
 	i.Shutdown()
 	return 0
 }
+
+// loadSettings reads the settings file and the optional settings in the environment.
+func loadSettings(path string) (instance.Settings, error) {
+	s, err := instance.LoadSettings(path)
+	if err == nil {
+		err = s.ApplyEnvironment(os.Getenv)
+	}
+	return s, err
+}
--- a/instance/settings.go
+++ b/instance/settings.go
@@ -157,6 +157,16 @@
 			findings.Add(name+": "+p.field, "must be positive")
 		}
 	}
+	s.checkNotNegative(name, &findings)
+	checkIntakeSettings(name, &s, &findings)
+	if s.Name == "" {
+		findings.Add(name+": instance", "must not be empty")
+	}
+	return s, findings.Err()
+}
+
+// checkNotNegative adds findings on optional settings that are negative.
+func (s *Settings) checkNotNegative(name string, findings *finding.List) {
 	notNegative := []struct {
 		field string
 		value float64
@@ -170,9 +180,4 @@
 			findings.Add(name+": "+n.field, "must not be negative")
 		}
 	}
-	checkIntakeSettings(name, &s, &findings)
-	if s.Name == "" {
-		findings.Add(name+": instance", "must not be empty")
-	}
-	return s, findings.Err()
 }
