boundedhttp, instance, crowd: the HTTP servers with bounds are a package of their own

Cause: the bounds on untrusted clients were joined to net/http inside package instance, so fuchsiacrossd, which has foreign clients too, could not use them.

Change: boundedhttp opens the addresses, makes the servers, counts and reports. Package instance keeps its settings. Errors that net/http logs for each connection are counted and reported once a second (event 891) instead of being dropped: clients cause them at any rate.

--- a/crowd/process_test.go
+++ b/crowd/process_test.go
@@ -13,8 +13,6 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -30,13 +28,12 @@
 	maxDescriptors = 1000
 	maxBodyBytes   = 262_144
 
-	startTimeout     = 30 * time.Second // of the process, and of an ordinary request with its repetitions
-	requestTimeout   = 5 * time.Second
-	repetitionDelay  = 200 * time.Millisecond
-	samplingInterval = 20 * time.Millisecond
+	startTimeout    = 30 * time.Second // of the process, and of an ordinary request with its repetitions
+	requestTimeout  = 5 * time.Second
+	repetitionDelay = 200 * time.Millisecond
 )
 
-var instanceBinary string // path of the instance program, built before the tests
+var instanceBinary, daemonBinary string // paths of the programs, built before the tests
 
 func TestMain(m *testing.M) { os.Exit(buildAndRun(m)) }
 
@@ -47,8 +44,8 @@
 		return 1
 	}
 	defer func() { _ = os.RemoveAll(directory) }()
-	instanceBinary = filepath.Join(directory, "fuchsiacross-instance")
-	if output, err := exec.Command("go", "build", "-o", instanceBinary, "fuchsiacross/cmd/fuchsiacross-instance").CombinedOutput(); err != nil {
+	instanceBinary, daemonBinary = filepath.Join(directory, "fuchsiacross-instance"), filepath.Join(directory, "fuchsiacrossd")
+	if output, err := exec.Command("go", "build", "-o", directory, "fuchsiacross/cmd/fuchsiacross-instance", "fuchsiacross/cmd/fuchsiacrossd").CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "%v\n%s", err, output)
 		return 1
 	}
@@ -57,28 +54,40 @@
 
 // instanceProcess is a process of an instance, the only one of its deployment.
 type instanceProcess struct {
-	pid                               int
-	exited                            chan struct{}
+	*process
 	caller, readiness, peer, counters netip.AddrPort
-	peakDescriptors                   atomic.Int64
 	lastID                            int
 }
 
 // startInstance starts a process and waits until it answers an ordinary request.
 func startInstance(t *testing.T) *instanceProcess {
+	t.Helper()
+	p := launchInstance(t, startStore(t), "i0")
+	p.requireOrdinaryAnswer(t)
+	return p
+}
+
+// startStore starts a stand-in of the store with a configuration of two queues.
+func startStore(t *testing.T) *standin.Store {
 	t.Helper()
 	store := standin.NewStore()
 	t.Cleanup(store.Close)
-	store.Put("op", "config", map[string]any{
-		"Version": 1,
-		"Routes": []map[string]any{{
-			"Name": "r", "Host": "h.example", "PathPrefix": "/p/", "Service": "pool", "MaxAttempts": 2, "Stretch": 2, "TargetLatencyMs": 500,
-		}},
-		"Limits": map[string]int{"MaxBodyBytes": maxBodyBytes},
-	})
-	p := &instanceProcess{exited: make(chan struct{}), caller: freeAddress(t), readiness: freeAddress(t), peer: freeAddress(t), counters: freeAddress(t)}
+	var routes []map[string]any
+	for _, name := range []string{"p", "o"} {
+		routes = append(routes, map[string]any{
+			"Name": name, "Host": "h.example", "PathPrefix": "/" + name + "/", "Service": "pool", "MaxAttempts": 2, "Stretch": 2, "TargetLatencyMs": 500,
+		})
+	}
+	store.Put("op", "config", map[string]any{"Version": 1, "Routes": routes, "Limits": map[string]int{"MaxBodyBytes": maxBodyBytes}})
+	return store
+}
+
+// launchInstance starts a process without waiting for it.
+func launchInstance(t *testing.T, store *standin.Store, name string) *instanceProcess {
+	t.Helper()
+	p := &instanceProcess{caller: freeAddress(t), readiness: freeAddress(t), peer: freeAddress(t), counters: freeAddress(t)}
 	text, err := json.Marshal(map[string]any{
-		"instance": "i0", "data_centre": "z", "caller_address": p.caller.String(), "readiness_address": p.readiness.String(),
+		"instance": name, "data_centre": "z", "caller_address": p.caller.String(), "readiness_address": p.readiness.String(),
 		"peer_address": p.peer.String(), "metrics_address": p.counters.String(), "store_address": store.Address().String(),
 		"processor_share": 0.4, "memory_megabytes": memoryMegabytes, "grace_seconds": 4,
 		"max_hold_milliseconds": 10_000, "stop_timeout_milliseconds": 400, "retention_seconds": 120,
@@ -86,39 +95,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	directory := t.TempDir()
-	settingsPath, logPath := filepath.Join(directory, "settings.json"), filepath.Join(directory, "log")
-	if err := os.WriteFile(settingsPath, text, 0o600); err != nil {
-		t.Fatal(err)
-	}
-	log, err := os.Create(logPath)
-	if err != nil {
-		t.Fatal(err)
-	}
-	command := exec.Command(instanceBinary, "--settings", settingsPath)
-	command.Dir, command.Stdout, command.Stderr = directory, log, log
-	// The kernel kills the instance when the test process dies, so that no process is left
-	// behind.
-	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := command.Start(); err != nil {
-		t.Fatal(err)
-	}
-	p.pid = command.Process.Pid
-	go func() {
-		_ = command.Wait()
-		close(p.exited)
-	}()
-	t.Cleanup(func() {
-		_ = command.Process.Kill()
-		<-p.exited
-		_ = log.Close()
-		if t.Failed() {
-			text, _ := os.ReadFile(logPath)
-			t.Logf("end of the log:\n%s", text[max(0, len(text)-4000):])
-		}
-	})
-	go p.sampleDescriptors()
-	p.requireOrdinaryAnswer(t)
+	p.process = startProcess(t, instanceBinary, text, memoryMegabytes, maxDescriptors)
 	return p
 }
 
@@ -132,15 +109,21 @@
 	return l.Addr().(*net.TCPAddr).AddrPort()
 }
 
-// requireOrdinaryAnswer submits a small job and checks that it is accepted. Refusals are
-// repeated, as ordinary clients do.
+// requireOrdinaryAnswer submits a small job to the queue of the crowds and checks that it is
+// accepted. Refusals are repeated, as ordinary clients do.
 func (p *instanceProcess) requireOrdinaryAnswer(t *testing.T) {
+	t.Helper()
+	p.requireAccepted(t, "p")
+}
+
+// requireAccepted submits a small job to a queue and checks that it is accepted.
+func (p *instanceProcess) requireAccepted(t *testing.T, queue string) {
 	t.Helper()
 	p.lastID++
 	client := http.Client{Timeout: requestTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	var last string
 	for end := time.Now().Add(startTimeout); time.Now().Before(end); time.Sleep(repetitionDelay) {
-		url := fmt.Sprintf("http://%s/p/%016x", p.caller, p.lastID)
+		url := fmt.Sprintf("http://%s/%s/%016x", p.caller, queue, p.lastID)
 		request, err := http.NewRequest(http.MethodPost, url, strings.NewReader(`{"Steps":[{"Count":1,"Cpu":1000,"MemMb":64,"EstimateMs":50}]}`))
 		if err != nil {
 			t.Fatal(err)
@@ -160,61 +143,3 @@
 	}
 	t.Errorf("an ordinary request is not accepted; the last attempt: %s", last)
 }
-
-// sampleDescriptors records the largest number of open descriptors until the process exits.
-func (p *instanceProcess) sampleDescriptors() {
-	ticker := time.NewTicker(samplingInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-p.exited:
-			return
-		case <-ticker.C:
-		}
-		directory, err := os.Open(fmt.Sprintf("/proc/%d/fd", p.pid))
-		if err != nil {
-			continue
-		}
-		names, err := directory.Readdirnames(-1)
-		_ = directory.Close()
-		if err == nil {
-			p.peakDescriptors.Store(max(p.peakDescriptors.Load(), int64(len(names))))
-		}
-	}
-}
-
-// peakMegabytes returns the peak of the resident memory.
-func (p *instanceProcess) peakMegabytes(t *testing.T) int {
-	t.Helper()
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.pid))
-	if err != nil {
-		t.Fatalf("the process has ended: %v", err)
-	}
-	for line := range strings.Lines(string(text)) {
-		var kilobytes int
-		if _, err := fmt.Sscanf(line, "VmHWM: %d kB", &kilobytes); err == nil {
-			return kilobytes >> 10
-		}
-	}
-	t.Fatal("the process has ended: no VmHWM in its status")
-	return 0
-}
-
-// requireWithinBounds checks that the process lives, and the peaks of its memory and of its
-// descriptors since its start.
-func (p *instanceProcess) requireWithinBounds(t *testing.T) {
-	t.Helper()
-	select {
-	case <-p.exited:
-		t.Fatal("the process has ended")
-	default:
-	}
-	megabytes, descriptors := p.peakMegabytes(t), p.peakDescriptors.Load()
-	t.Logf("peaks: %d MB, %d descriptors", megabytes, descriptors)
-	if megabytes > memoryMegabytes {
-		t.Errorf("resident memory reached %d MB, the machine has %d MB", megabytes, memoryMegabytes)
-	}
-	if descriptors > maxDescriptors {
-		t.Errorf("%d descriptors were open, at most %d are allowed", descriptors, maxDescriptors)
-	}
-}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -28,6 +28,7 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"fuchsiacross/boundedhttp"
 	"fuchsiacross/intake"
 	"fuchsiacross/link"
 	"fuchsiacross/logevent"
@@ -41,7 +42,6 @@
 
 const (
 	idleTimeout            = 30 * time.Second
-	maxHeaderBytes         = 16 << 10
 	balancerDetectionDelay = 2300 * time.Millisecond // time until the load balancer has seen two failed checks
 	shutdownReserve        = 1200 * time.Millisecond // part of the grace period that is kept for open requests
 	metricsPath            = "/metrics"
@@ -56,7 +56,7 @@
 	log         *zap.Logger
 	metrics     metrics.Registry
 	dropped     func() int64
-	intake      *intakeBounds
+	bounded     *boundedhttp.Servers
 
 	store  *store.Client
 	runner *runner.Client
@@ -100,14 +100,15 @@
 		i.counter("store.unreadable_rows").Inc(1)
 		logevent.StoreRowUnreadable.Log(i.log, errorField(err))
 	}
-	i.intake = i.newIntake()
+	i.bounded = i.newServers()
+	bounds := i.bounded.Bounds()
 	if s.AdviceAddress.IsValid() {
 		i.advice = advice.New(s.AdviceAddress)
 	}
 	handler := &client.Handler{
 		Route: i.findRoute, MaxBodyBytes: i.maxBodyBytes, Submit: i.submit, Status: i.status,
 		Cancel: i.cancelJob, CountPending: i.countPending, ShouldCloseConnections: i.stopping.Load,
-		ReadBody: i.intake.budget.ReadBody,
+		ReadBody: i.bounded.Budget().ReadBody,
 	}
 	peerMux := http.NewServeMux()
 	peerMux.Handle(link.Path, link.Handler(i.handleLeaderMessage, i.handleLinkClosed))
@@ -122,16 +123,16 @@
 		handler http.Handler
 		options intake.Options
 	}{
-		{"callers", s.CallerAddress, handler, i.intake.callers()},
-		{"peers", s.PeerAddress, peerMux, i.intake.peers()},
-		{"readiness", s.ReadinessAddress, readinessMux, i.intake.probes()},
-		{"metrics", s.MetricsAddress, metricsMux, i.intake.probes()},
+		{"callers", s.CallerAddress, handler, callerOptions(bounds)},
+		{"peers", s.PeerAddress, peerMux, peerOptions(bounds)},
+		{"readiness", s.ReadinessAddress, readinessMux, probeOptions(bounds)},
+		{"metrics", s.MetricsAddress, metricsMux, probeOptions(bounds)},
 	}
 	for n, l := range listeners {
 		if !l.address.IsValid() {
 			continue
 		}
-		listener, err := i.intake.listen(l.name, l.address, l.options)
+		listener, err := i.bounded.Listen(l.name, l.address, l.options)
 		if err != nil {
 			cancel()
 			return nil, errors.Wrapf(err, "listen at %s", l.address)
@@ -143,7 +144,7 @@
 			i.servers = append(i.servers, i.startServer(listener, l.handler, nil))
 		}
 	}
-	i.goroutines.Go(i.reportIntake)
+	i.goroutines.Go(func() { i.bounded.Report(i.ctx) })
 	i.goroutines.Go(i.followConfiguration)
 	i.goroutines.Go(i.followLeadersConfiguration)
 	i.goroutines.Go(i.registerInstance)
@@ -157,17 +158,7 @@
 // startServer serves the requests of a listener until it is closed. The function connState,
 // which may be nil, is notified of the states of connections.
 func (i *Instance) startServer(listener net.Listener, handler http.Handler, connState func(net.Conn, http.ConnState)) *http.Server {
-	server := &http.Server{
-		Handler: intake.Handler(handler), ReadHeaderTimeout: i.intake.bounds.HeaderTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(zap.NewNop()),
-		ConnContext: intake.ConnContext, ConnState: func(c net.Conn, state http.ConnState) {
-			intake.RecordState(c, state)
-			if connState != nil {
-				connState(c, state)
-			}
-		},
-		Protocols: &http1Only,
-	}
+	server := i.bounded.NewServer(boundedhttp.ServerOptions{Handler: handler, IdleTimeout: idleTimeout, ConnState: connState})
 	i.goroutines.Go(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			logevent.ServerFailed.Log(i.log, zap.Stringer("address", listener.Addr()), errorField(err))
--- a/instance/intake_test.go
+++ b/instance/intake_test.go
@@ -16,7 +16,7 @@
 	It("are taken from the settings", func() {
 		s, err := parse(`,"max_connections":99,"body_megabytes":7,"header_timeout_milliseconds":3000,"body_timeout_milliseconds":9000`)
 		Expect(err).NotTo(HaveOccurred())
-		b := (&Instance{settings: s}).newIntake().bounds
+		b := (&Instance{settings: s}).newServers().Bounds()
 		Expect(b.CallerConnections).To(Equal(99))
 		Expect(b.BodyBytes).To(BeEquivalentTo(7 << 20))
 		Expect([]time.Duration{b.HeaderTimeout, b.BodyTimeout}).To(Equal([]time.Duration{3 * time.Second, 9 * time.Second}))
--- a/logevent/list.go
+++ b/logevent/list.go
@@ -148,6 +148,7 @@
 	RunTimesNotRestored     = Event{886, zapcore.WarnLevel, "run times not restored", "What the former leader learned about run times and the speed of workers cannot be read or written; the models start empty or are not stored. Detail tells the reason."}
 	RunTimesCalibrated      = Event{887, zapcore.InfoLevel, "run times calibrated", "How well run times were predicted, every ten seconds at most: detail tells for each queue which fraction of the runs took at most a multiple of the expected time, beside the predicted fraction. The other fields tell whether workers differ in speed."}
 	IntakeLimited           = Event{890, zapcore.WarnLevel, "intake limited", "Connections or bodies of clients were refused or evicted because a bound on connections, memory or time was reached; count is their number since the last line. The counters intake.refused and intake.evicted tell the causes."}
+	ConnectionsFailed       = Event{891, zapcore.WarnLevel, "connections failed", "Connections of clients failed, for example in the TLS handshake; count is their number since the last line, last the last error."}
 )
 
 // All lists every event in ascending order of the numbers.
@@ -162,5 +163,5 @@
 	InstanceStarted, InstanceStopped, SettingsReloaded, SettingsInvalid, StoreUnreachable, StoreReachable, ConfigurationInForce, ConfigurationInvalid, LeadershipClaimed, LeadershipLost, LeadershipEnded, LeadershipClaimFailed, LeadershipReleaseFailed, LeaderFound, LeaderLost, LeaderDelayed, InstanceLinked, InstanceUnlinked, InstanceRowUnreadable, LeadershipYielded, RankUnavailable, LeadershipReleased, PredecessorRunsSettled, ProcessorSpeedChanged, ShardsKnown, ShardsPlanned, ShardsUnavailable, ShardOutsideMap, JobsLoaded, JobUnreadable, JobKnownToLeader, JobFinished, JobCancelled, JobNotRemoved, SaveDelayed, LeaderLoad, LeaderOverloaded, StoreRowUnreadable, RunOrdered, RunRejected, RunUnknown, RunEnded, RunGivenUp, RunMoved, StepWaiting, RunPaced, ProgressRejected, RunAdopted, WorkerRestarted, WorkerUnreachable, WorkerReachable, WorkerHealthChanged, RegistrationUnreadable, AdviceFailed, ShardCapacity, StepOverdue, RequestAnswered, RequestNotServed,
 	KeyRefused, ConfigurationFromLeader, KeysUnconfirmed, KeysConfirmed, TenantAtQuota,
 	StepAboveQuota, ShareExceeded, RunTimesNotRestored,
-	RunTimesCalibrated, IntakeLimited,
+	RunTimesCalibrated, IntakeLimited, ConnectionsFailed,
 }
