intake: clients that read no response do not keep others out

What callers saw: while clients sent requests one after the other and read no response, an ordinary request got 503 for many seconds.

Cause: at the bound a new connection evicts the one that began a whole request last, which closes after its response. If its client does not read, the response waits for the write's time limit of 5 s, and so do the next ones, until the eighth of connections that may be open beside is used up. The connections that could be closed at once, whose writes have been blocked for long, were not told from those that are being served.

Change: a connection that is writing has a phase of its own. These connections are evicted after those with incomplete requests and before idle ones, the oldest first. Writes have 5 s for each 64 KiB instead of for the whole response, so that a large response to a slow client arrives. The budget keeps the request of a body instead of its connection, and Receive returns a body whose share can be reduced.

--- a/intake/budget.go
+++ b/intake/budget.go
@@ -66,14 +66,14 @@
 
 	mu       sync.Mutex
 	ledger   *Ledger
-	owners   map[*Body]*Conn // of incomplete bodies
-	waiting  int             // bodies that wait for bytes
-	released chan struct{}   // closed and replaced when bytes or waiting bodies are released
+	owners   map[*Body]*request // of incomplete bodies
+	waiting  int                // bodies that wait for bytes
+	released chan struct{}      // closed and replaced when bytes or waiting bodies are released
 }
 
 // NewBudget returns a budget for a number of bytes. A body may take at most the timeout.
 func NewBudget(bytes int64, timeout time.Duration) *Budget {
-	return &Budget{timeout: timeout, ledger: NewLedger(bytes), owners: map[*Body]*Conn{}, released: make(chan struct{})}
+	return &Budget{timeout: timeout, ledger: NewLedger(bytes), owners: map[*Body]*request{}, released: make(chan struct{})}
 }
 
 // Held returns the bytes held for bodies.
@@ -83,36 +83,61 @@
 	return b.ledger.Held()
 }
 
-// ReadBody reads the body of a request, which may have up to limit bytes. The release function
-// must be called when the request has been processed, also after an error. The error is a
-// *Refusal if the body is not kept.
+// Received is a whole body that counts against a Budget until it is released.
+type Received struct {
+	Bytes  []byte
+	budget *Budget
+	kept   *Body
+}
+
+// Keep reduces what the body counts to n bytes, once its request takes no more.
+func (r *Received) Keep(n int64) {
+	if surplus := r.kept.held - n; surplus > 0 {
+		r.budget.shrink(r.kept, surplus)
+	}
+}
+
+// Release returns the bytes of the body to the budget. Further calls do nothing.
+func (r *Received) Release() { r.budget.release(r.kept) }
+
+// ReadBody reads the body of a request like Receive. The release function must be called when
+// the request has been processed, also after an error.
 func (b *Budget) ReadBody(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) (body []byte, release func(), err error) {
+	received, err := b.Receive(w, r, limit, deadline)
+	if err != nil {
+		return nil, func() {}, err
+	}
+	return received.Bytes, received.Release, nil
+}
+
+// Receive reads the body of a request, which may have up to limit bytes. It must be released when
+// the request has been processed. The error is a *Refusal if the body is not kept.
+func (b *Budget) Receive(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) (*Received, error) {
 	if r.ContentLength > limit {
-		return nil, func() {}, b.refuse(CauseTooLarge)
+		return nil, b.refuse(CauseTooLarge)
 	}
-	c := connOf(r)
-	kept := b.open(c, r.ContentLength)
+	owner := requestOf(r)
+	kept := b.open(owner, r.ContentLength)
 	if kept == nil {
-		return nil, func() {}, b.refuse(CauseBudget)
+		return nil, b.refuse(CauseBudget)
 	}
-	release = func() { b.release(kept) }
 	deadline = earlier(deadline, time.Now().Add(b.timeout))
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(deadline)
-	body, err = b.receive(kept, r.Body, r.ContentLength, limit, deadline)
+	body, err := b.receive(kept, r.Body, r.ContentLength, limit, deadline)
 	if err == nil {
 		err = b.complete(kept, int64(len(body)), deadline)
 	}
 	if err != nil {
 		// The bytes are released before the response is written: its client may not read it.
 		b.release(kept)
-		return nil, func() {}, b.classify(kept, c, err, deadline)
+		return nil, b.classify(kept, owner, err, deadline)
 	}
 	_ = control.SetReadDeadline(time.Time{})
-	if c != nil {
-		c.begin(PhaseServing)
+	if owner != nil {
+		owner.begin(PhaseServing)
 	}
-	return body, release, nil
+	return &Received{body, b, kept}, nil
 }
 
 func earlier(a, b time.Time) time.Time {
@@ -130,10 +155,10 @@
 }
 
 // classify returns the error of a body that could not be read or kept.
-func (b *Budget) classify(kept *Body, c *Conn, err error, deadline time.Time) error {
+func (b *Budget) classify(kept *Body, owner *request, err error, deadline time.Time) error {
 	var refusal *Refusal
 	b.mu.Lock()
-	evicted := kept.evicted || c != nil && c.isInterrupted()
+	evicted := kept.evicted || owner != nil && owner.isInterrupted()
 	b.mu.Unlock()
 	switch {
 	case evicted:
@@ -183,12 +208,12 @@
 	return buffer, nil
 }
 
-func (b *Budget) open(c *Conn, declared int64) *Body {
+func (b *Budget) open(owner *request, declared int64) *Body {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	kept := b.ledger.Open(declared)
 	if kept != nil {
-		b.owners[kept] = c
+		b.owners[kept] = owner
 	}
 	return kept
 }
@@ -200,10 +225,10 @@
 	for {
 		b.mu.Lock()
 		verdict, evicted := b.ledger.Grow(kept, n)
-		var owners []*Conn
+		var owners []*request
 		for _, victim := range evicted {
-			if c := b.owners[victim]; c != nil {
-				owners = append(owners, c)
+			if owner := b.owners[victim]; owner != nil {
+				owners = append(owners, owner)
 			}
 		}
 		if len(evicted) > 0 {
@@ -214,8 +239,8 @@
 			b.waiting++
 		}
 		b.mu.Unlock()
-		for _, c := range owners {
-			c.Interrupt()
+		for _, owner := range owners {
+			owner.interrupt()
 		}
 		switch verdict {
 		case Granted:
@@ -276,3 +301,21 @@
 	close(b.released)
 	b.released = make(chan struct{})
 }
+
+const (
+	// A client that is still sending when its connection is closed gets a reset instead of the
+	// response. So much of a refused body is read and dropped, for so long at most.
+	maxDiscardedBytes = 256 << 10
+	discardTimeout    = 500 * time.Millisecond
+)
+
+// PrepareRefusal has the connection of a request whose body was not kept closed after the
+// response, since the body may not have been read to its end.
+func PrepareRefusal(w http.ResponseWriter, r *http.Request, err error) {
+	var refusal *Refusal
+	w.Header().Set("Connection", "close")
+	if errors.As(err, &refusal) && refusal.CanDiscardRest() && r.Header.Get("Expect") == "" {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(discardTimeout))
+		_, _ = io.CopyN(io.Discard, r.Body, maxDiscardedBytes)
+	}
+}
--- a/intake/listener.go
+++ b/intake/listener.go
@@ -15,8 +15,6 @@
 )
 
 const (
-	// writeTimeout is how long a client may take to receive a part of a response.
-	writeTimeout = 5 * time.Second
 	// lastReadTime is how long an idle connection is read once more before it is closed, for
 	// a request that has arrived in the meantime.
 	lastReadTime = 5 * time.Millisecond
@@ -45,9 +43,9 @@
 	net.Listener
 	options Options
 
-	mu    sync.Mutex
-	table *Table
-	conns map[*Entry]*Conn
+	mu     sync.Mutex
+	table  *Table
+	owners map[*Entry]*request
 }
 
 // Listen opens an address.
@@ -63,7 +61,7 @@
 		_ = l.Close()
 		return nil, err
 	}
-	return &Listener{Listener: l, options: o, table: NewTable(o.MaxConnections), conns: map[*Entry]*Conn{}}, nil
+	return &Listener{Listener: l, options: o, table: NewTable(o.MaxConnections), owners: map[*Entry]*request{}}, nil
 }
 
 // setBuffers sets the buffer sizes, which the accepted sockets inherit.
@@ -133,21 +131,66 @@
 	}
 }
 
-// admit returns nil if the connection has to be refused.
-func (l *Listener) admit(accepted net.Conn) *Conn {
+// request is an entry of the table with what its eviction has to interrupt. The requests of a
+// connection share it.
+type request struct {
+	listener      *Listener
+	entry         *Entry // its phase is guarded by Listener.mu
+	interrupt     func() // ends reads, and shortens writes
+	isInterrupted func() bool
+}
+
+// begin moves the request to a phase.
+func (r *request) begin(phase Phase) {
+	r.listener.mu.Lock()
+	defer r.listener.mu.Unlock()
+	if r.entry.Phase() != PhaseEvicted {
+		r.listener.table.Move(r.entry, phase)
+	}
+}
+
+// move moves the request from one phase to another, and does nothing in other phases.
+func (r *request) move(from, to Phase) {
+	r.listener.mu.Lock()
+	defer r.listener.mu.Unlock()
+	if r.entry.Phase() == from {
+		r.listener.table.Move(r.entry, to)
+	}
+}
+
+// open adds a request to the table, with a new entry. It reports whether the bound admits it.
+func (l *Listener) open(r *request) bool {
 	l.mu.Lock()
 	entry, evicted := l.table.Open()
-	victim := l.conns[evicted]
-	var c *Conn
+	victim := l.owners[evicted]
 	if entry != nil {
-		c = &Conn{Conn: accepted, listener: l, entry: entry}
-		l.conns[entry] = c
+		r.listener, r.entry = l, entry
+		l.owners[entry] = r
 	}
 	l.mu.Unlock()
 	if victim != nil {
-		victim.Interrupt()
+		victim.interrupt()
 		notify(l.options.OnEvicted)
 	}
+	return entry != nil
+}
+
+// remove removes a request from the table.
+func (l *Listener) remove(r *request) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.table.Remove(r.entry)
+	delete(l.owners, r.entry)
+}
+
+// admit returns nil if the connection has to be refused.
+func (l *Listener) admit(accepted net.Conn) *Conn {
+	c := &Conn{Conn: accepted, listener: l}
+	c.sending.setDeadline = accepted.SetWriteDeadline
+	c.request = request{interrupt: c.Interrupt, isInterrupted: c.isInterrupted}
+	if !l.open(&c.request) {
+		return nil
+	}
 	return c
 }
 
@@ -162,29 +205,22 @@
 type Conn struct {
 	net.Conn
 	listener *Listener
-	entry    *Entry // its phase is guarded by Listener.mu
+	request  request // of all its requests
+	sending  sending
 
 	mu           sync.Mutex
 	interrupted  bool // reads end at once
 	readDeadline time.Time
 }
 
-// begin moves the connection to a phase.
-func (c *Conn) begin(phase Phase) {
-	c.listener.mu.Lock()
-	defer c.listener.mu.Unlock()
-	if c.entry.Phase() != PhaseEvicted {
-		c.listener.table.Move(c.entry, phase)
-	}
-}
-
 // Interrupt ends all reads, so that the goroutine that serves the connection closes it. A
-// request that has been read whole is still answered.
+// request that has been read whole is still answered, if its client reads the response.
 func (c *Conn) Interrupt() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.interrupted = true
 	_ = c.Conn.SetReadDeadline(past)
+	c.sending.evict()
 }
 
 func (c *Conn) isInterrupted() bool {
@@ -217,8 +253,8 @@
 	}
 	if n > 0 {
 		c.listener.mu.Lock()
-		if c.entry.Phase() == PhaseIdle {
-			c.listener.table.Move(c.entry, PhaseReceiving)
+		if c.request.entry.Phase() == PhaseIdle {
+			c.listener.table.Move(c.request.entry, PhaseReceiving)
 		}
 		c.listener.mu.Unlock()
 	}
@@ -237,18 +273,12 @@
 	return true
 }
 
-// Write writes to the connection within writeTimeout.
-func (c *Conn) Write(p []byte) (int, error) {
-	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
-	return c.Conn.Write(p)
-}
+// Write writes to the connection. Each piece of writePieceBytes has writeTimeout.
+func (c *Conn) Write(p []byte) (int, error) { return c.sending.write(c.Conn, &c.request, p) }
 
 // Close closes the connection.
 func (c *Conn) Close() error {
-	c.listener.mu.Lock()
-	c.listener.table.Remove(c.entry)
-	delete(c.listener.conns, c.entry)
-	c.listener.mu.Unlock()
+	c.listener.remove(&c.request)
 	return c.Conn.Close()
 }
 
@@ -269,7 +299,7 @@
 // RecordState is the ConnState function of servers.
 func RecordState(c net.Conn, state http.ConnState) {
 	if found := find(c); found != nil && state == http.StateIdle {
-		found.begin(PhaseIdle)
+		found.request.begin(PhaseIdle)
 	}
 }
 
@@ -286,11 +316,19 @@
 	return c
 }
 
+// requestOf returns the entry of a request, or nil if its server has no Listener.
+func requestOf(r *http.Request) *request {
+	if c := connOf(r); c != nil {
+		return &c.request
+	}
+	return nil
+}
+
 // Establish records that the connection of an upgraded request is in use, so that it is no
 // longer evicted. The context is that of the request.
 func Establish(ctx context.Context) {
 	if c, _ := ctx.Value(connKey{}).(*Conn); c != nil {
-		c.begin(PhaseLinked)
+		c.request.begin(PhaseLinked)
 	}
 }
 
@@ -301,7 +339,7 @@
 		c := connOf(r)
 		if r.ContentLength == 0 {
 			if c != nil && r.Header.Get("Upgrade") == "" {
-				c.begin(PhaseServing)
+				c.request.begin(PhaseServing)
 			}
 		} else {
 			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
--- a/intake/serve_test.go
+++ b/intake/serve_test.go
@@ -141,3 +141,44 @@
 		t.Errorf("half a header is not evicted: %v", err)
 	}
 }
+
+// Guards against clients that send requests and read no response, and that keep others out until
+// the write of each has timed out.
+func TestResponsesThatAreNotRead(t *testing.T) {
+	l, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"), Options{MaxConnections: 64, SendBytes: 4 << 10})
+	if err != nil {
+		t.Fatal(err)
+	}
+	large := strings.Repeat("r", 8<<20)
+	server := &http.Server{ConnContext: ConnContext, ConnState: RecordState, Handler: Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/large" {
+			_, _ = io.WriteString(w, large)
+		}
+	}))}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	address := l.Addr().String()
+	for range 64 {
+		c := dial(t, address, "")
+		// A fixed buffer, which the kernel does not enlarge meanwhile.
+		if err := c.(*net.TCPConn).SetReadBuffer(4 << 10); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.WriteString(c, "GET /large HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.Read(make([]byte, 1)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	time.Sleep(2 * evictedWriteTimeout)
+	refused := 0
+	for range 64 {
+		if receive(t, dial(t, address, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")) != "200 false " {
+			refused++
+		}
+	}
+	if refused > 0 {
+		t.Errorf("%d of 64 ordinary requests are refused", refused)
+	}
+}
--- a/intake/table.go
+++ b/intake/table.go
@@ -10,6 +10,7 @@
 	PhaseIdle      Phase = iota // no byte of the next request has been read
 	PhaseReceiving              // the header or the body of a request is incomplete
 	PhaseServing                // a whole request is processed
+	PhaseSending                // a part of a response is being written
 	PhaseLinked                 // it is a link to another instance
 	PhaseEvicted                // it is about to be closed
 	phaseCount
@@ -26,9 +27,10 @@
 
 // Table decides which connections stay open. It addresses clients that open many connections
 // and send nothing, half a header or one request after the other. Connections with an
-// incomplete request are evicted before idle ones, the oldest first. If there are neither, the
-// connection that began a whole request last is evicted: most likely it is one that sends many.
-// It closes after the response. Links are not evicted.
+// incomplete request are evicted first, then those that are sending, since a client that does
+// not read its responses stays in that phase, and then idle ones, in each case the oldest first.
+// If there are none, the connection that began a whole request last is evicted: most likely it
+// is one that sends many. It closes after the response. Links are not evicted.
 type Table struct {
 	limit  int
 	phases [phaseCount]list.List // of *Entry, in the order in which the phase began
@@ -48,6 +50,9 @@
 	}
 	if t.Len()-t.phases[PhaseEvicted].Len() >= t.limit {
 		victim := t.phases[PhaseReceiving].Front()
+		if victim == nil {
+			victim = t.phases[PhaseSending].Front()
+		}
 		if victim == nil {
 			victim = t.phases[PhaseIdle].Front()
 		}
