daemon: bounded connections at each address

What was seen: fuchsiacrossd kept every connection that clients opened. 4,000 half headers, or half TLS handshakes, took 4,014 descriptors, of 3,075 on the smallest machines. Each failed handshake wrote a line to the log.

Cause: the addresses of callers, operators, peers and monitoring were plain listeners; only the header had a time limit.

Change: the daemon opens its addresses through boundedhttp, as fuchsiacross-instance does. Callers have as many connections as a quarter of limits/memory_megabytes (a new setting, 256 by default, the bound of docs/design.md) holds at 48 KiB each, operators 128, peers 1,024 and monitoring 32. At a bound a new connection evicts one with an incomplete request, one whose client does not read or an idle one; links to other instances are not evicted after their handshake. The time limits of headers and bodies are settings. An idle connection is closed after two minutes, later than the clients of package client do.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -13,9 +13,11 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"fuchsiacross/boundedhttp"
 	"fuchsiacross/caller"
 	"fuchsiacross/document"
 	"fuchsiacross/event"
+	"fuchsiacross/intake"
 	"fuchsiacross/logevent"
 	"fuchsiacross/membership"
 	"fuchsiacross/model"
@@ -41,8 +43,8 @@
 	// maxRunnerConnections is the number of connections that a runner accepts from all
 	// instances together.
 	maxRunnerConnections = 64
-	// readHeaderTimeout closes connections that do not send a request header in time.
-	readHeaderTimeout = 10 * time.Second
+	// idleTimeout is longer than the clients of package client keep idle connections.
+	idleTimeout = 2 * time.Minute
 )
 
 // Daemon is one running instance of the scheduler.
@@ -62,6 +64,7 @@
 	links     *peer.Links
 	workers   *worker.Client
 	platform  *tableservice.Client
+	bounded   *boundedhttp.Servers
 	servers   []*server
 
 	document             atomic.Pointer[document.Document]
@@ -73,6 +76,7 @@
 	stopped              chan struct{} // closed when the reducer has finished the shutdown
 	quit                 chan struct{} // closed to end the control goroutine
 	done                 chan struct{} // closed when the control goroutine has ended
+	endReports           context.CancelFunc
 }
 
 // Options replace dependencies of a Daemon in tests. The zero value is for production.
@@ -104,6 +108,7 @@
 		quit:         make(chan struct{}),
 		done:         make(chan struct{}),
 	}
+	d.bounded = boundedhttp.New(boundedhttp.Options{Bounds: intakeBounds(&s.Limits), Log: log, Metrics: d.metrics})
 	d.maxWorkerConnections.Store(1)
 	d.document.Store(document.Default())
 	if err := d.build(now); err != nil {
@@ -114,6 +119,9 @@
 		defer close(d.done)
 		d.runControlLoop()
 	}()
+	reports, endReports := context.WithCancel(context.Background())
+	d.endReports = endReports
+	go func() { d.bounded.Report(reports) }()
 	d.links.SetPeers(s.Peers)
 	for _, x := range d.servers {
 		x.start()
@@ -284,6 +292,7 @@
 	err = errors.Join(err, d.workers.Close(ctx), d.links.Close(ctx), d.platform.Close(ctx))
 	close(d.quit)
 	<-d.done
+	d.endReports()
 	return err
 }
 
@@ -295,6 +304,7 @@
 	d.closeServers()
 	close(d.quit)
 	<-d.done
+	d.endReports()
 	_ = d.links.Close(cancelled)
 	_ = d.workers.Close(cancelled)
 	_ = d.platform.Close(cancelled)
@@ -303,7 +313,7 @@
 // server is an HTTP server with its listener.
 type server struct {
 	http     *http.Server
-	listener net.Listener
+	listener *intake.Listener
 	log      *zap.Logger
 	tlsFiles settings.TLS // empty for plain connections
 }
@@ -339,40 +349,34 @@
 	operations.Handle(d.operators.Handler())
 	peers := http.NewServeMux()
 	peers.Handle(peer.Path, d.links.Handler())
-	if err := d.addServer(s.CallerAddress, calls, s.TLS); err != nil {
-		return err
-	}
-	if err := d.addServer(s.OperatorAddress, operations, s.TLS); err != nil {
-		return err
+	callers, operators, peerLinks, monitoring := listenerOptions(d.bounded.Bounds())
+	addresses := []struct {
+		name     string
+		address  netip.AddrPort
+		handler  http.Handler
+		options  intake.Options
+		tlsFiles settings.TLS
+		http2    bool
+	}{
+		{"callers", s.CallerAddress, calls, callers, s.TLS, true},
+		{"operators", s.OperatorAddress, operations, operators, s.TLS, true},
+		{"peers", s.PeerAddress, peers, peerLinks, settings.TLS{}, false},
+		{"metrics", s.MetricsAddress, d.healthHandler(), monitoring, settings.TLS{}, true},
 	}
-	if err := d.addServer(s.PeerAddress, peers, settings.TLS{}); err != nil {
-		return err
-	}
-	if !s.MetricsAddress.IsValid() {
-		return nil
-	}
-	return d.addServer(s.MetricsAddress, d.healthHandler(), settings.TLS{})
-}
-
-func (d *Daemon) addServer(address netip.AddrPort, handler http.Handler, tlsFiles settings.TLS) error {
-	listener, err := net.Listen("tcp", address.String())
-	if err != nil {
-		return errors.Wrap(err, "listen")
+	for _, a := range addresses {
+		if !a.address.IsValid() {
+			continue
+		}
+		listener, err := d.bounded.Listen(a.name, a.address, a.options)
+		if err != nil {
+			return errors.Wrap(err, "listen")
+		}
+		d.servers = append(d.servers, &server{
+			listener: listener,
+			log:      d.log,
+			tlsFiles: a.tlsFiles,
+			http:     d.bounded.NewServer(boundedhttp.ServerOptions{Handler: a.handler, IdleTimeout: idleTimeout, HTTP2: a.http2}),
+		})
 	}
-	protocols := &http.Protocols{}
-	protocols.SetHTTP1(true)
-	protocols.SetHTTP2(true)
-	protocols.SetUnencryptedHTTP2(true)
-	d.servers = append(d.servers, &server{
-		listener: listener,
-		log:      d.log,
-		tlsFiles: tlsFiles,
-		http: &http.Server{
-			Handler:           handler,
-			Protocols:         protocols,
-			ReadHeaderTimeout: readHeaderTimeout,
-			ErrorLog:          zap.NewStdLog(d.log),
-		},
-	})
 	return nil
 }
--- a/peer/links.go
+++ b/peer/links.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"fuchsiacross/event"
+	"fuchsiacross/intake"
 	"fuchsiacross/logevent"
 	"fuchsiacross/model"
 )
@@ -261,7 +262,9 @@
 		if err != nil {
 			return // Accept has written the response
 		}
-		if err := l.accept(conn, counted.conn); err != nil {
+		if err := l.accept(conn, counted.conn); err == nil {
+			intake.Establish(r.Context())
+		} else {
 			_ = conn.CloseNow()
 			if !errors.Is(err, errSimultaneous) && !errors.Is(err, errClosed) {
 				logevent.PeerHelloRefused.Log(l.options.Log, zap.String("remote", r.RemoteAddr), zap.Error(err))
--- a/settings/field.go
+++ b/settings/field.go
@@ -74,6 +74,10 @@
 	integerField("/limits/max_tasks", 1, 100_000, 10_000, "tasks of one request", func(s *Settings) *int64 { return &s.Limits.MaxTasks }),
 	integerField("/limits/max_frame_bytes", 128<<10, 128<<20, 8<<20, "largest frame between instances", func(s *Settings) *int64 { return &s.Limits.MaxFrameBytes }),
 	integerField("/limits/max_peer_queue", 16, 1_000_000, 1024, "messages that wait for one peer", func(s *Settings) *int64 { return &s.Limits.MaxPeerQueue }),
+	integerField("/limits/memory_megabytes", 64, 1<<20, 256, "memory of the process in MB; an eighth is for bodies that are received, an eighth for bodies of waiting requests, and connections follow from it ([design/intake.md](design/intake.md))", func(s *Settings) *int64 { return &s.Limits.MemoryMegabytes }),
+	integerField("/limits/max_connections", 0, 65_536, 0, "open connections of callers and streams of HTTP/2 together; 0 for a quarter of memory_megabytes at 48 KiB each, at least 192", func(s *Settings) *int64 { return &s.Limits.MaxConnections }),
+	integerField("/limits/header_timeout_milliseconds", 100, 60_000, 10_000, "longest time for the header of a request and for the TLS handshake", func(s *Settings) *int64 { return &s.Limits.HeaderTimeoutMilliseconds }),
+	integerField("/limits/body_timeout_milliseconds", 100, 3_600_000, 60_000, "longest time for the body of a request; a shorter timeout of the call counts before it", func(s *Settings) *int64 { return &s.Limits.BodyTimeoutMilliseconds }),
 	integerField("/timeline_records", 16, 10_000_000, 65_536, "records of the timeline kept in memory", func(s *Settings) *int64 { return &s.TimelineRecords }),
 	{
 		pointer: "/log_level", typeName: "debug, info, warn or error", defaultJSON: `"info"`,
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -53,6 +53,11 @@
 	MaxTasks      int64 // per request
 	MaxFrameBytes int64 // per frame between instances
 	MaxPeerQueue  int64 // messages queued for one link
+
+	MemoryMegabytes           int64 // of the process
+	MaxConnections            int64 // of callers; zero for a default that follows from the memory
+	HeaderTimeoutMilliseconds int64 // for the header of a request
+	BodyTimeoutMilliseconds   int64 // for the body of a request
 }
 
 // Load reads and validates the file at path. Unless the file cannot be read, the error
