rpcserver, caller, operator, daemon: bodies are read under a budget

What was seen: 100 bodies of 4,000,000 bytes, which is legal, that stop just short of their end took a process of fuchsiacrossd to 557 MB of 256, piece by piece to 544 MB, in large chunks to 560 and in very small ones to 524; 200 whole compressed bodies of 8 KB, which are as large when inflated, to 571 MB. 100 bodies of an operator that stop short left no call to the other operators for more than 30 s.

Cause: connect reads the whole body into a buffer before the handler decides anything, and doubles the buffer on its way. No time limit ended a body. The operators' limit of 64 concurrent calls counted calls whose body was incomplete.

Change: BoundBodies reads bodies through intake.Budget before connect sees them, as fuchsiacross-instance does: at the bound, the oldest incomplete bodies are evicted. Compressed bodies are inflated under the budget, of the Connect protocol as well as of gRPC. A whole body counts twice until it is decoded and then with the size of its message until its call is answered. A refused body gets resource_exhausted, Retry-After: 1 and the promise that its request never runs; a body above the limit gets invalid_argument as before, now also without a declared length. The operators' limit counts calls from the end of their body. The Go heap has a limit of 0.7 of the memory setting.

An operator's call is answered beside bodies of operators that stop short.

--- a/caller/server.go
+++ b/caller/server.go
@@ -15,6 +15,7 @@
 	"fuchsiacross/document"
 	"fuchsiacross/event"
 	"fuchsiacross/finding"
+	"fuchsiacross/intake"
 	"fuchsiacross/logevent"
 	"fuchsiacross/model"
 	"fuchsiacross/rpcserver"
@@ -42,7 +43,8 @@
 	Document  func() *document.Document
 	StoreBody func(ctx context.Context, data []byte) (model.Digest, error)
 	Limits    model.Limits
-	MaxCalls  int // concurrent calls; more are refused with resource_exhausted
+	MaxCalls  int            // concurrent calls; more are refused with resource_exhausted
+	Budget    *intake.Budget // for the bodies of calls; nil for one of their own
 	Log       *zap.Logger
 	Metrics   metrics.Registry
 }
@@ -66,6 +68,9 @@
 	if o.Metrics == nil {
 		o.Metrics = metrics.NewRegistry()
 	}
+	if o.Budget == nil {
+		o.Budget = rpcserver.DefaultBudget()
+	}
 	return &Server{
 		options:        o,
 		limiter:        rpcserver.NewCallLimiter(o.MaxCalls),
@@ -80,7 +85,7 @@
 // Handler returns the path prefix of the service and its HTTP handler.
 func (s *Server) Handler() (path string, handler http.Handler) {
 	path, handler = callerv1connect.NewCallerServiceHandler(s, rpcserver.HandlerOptions(s.options.Limits.MaxBodyBytes)...)
-	return path, rpcserver.LimitBody(s.options.Limits.MaxBodyBytes, handler)
+	return path, rpcserver.BoundBodies(s.options.Budget, s.options.Limits.MaxBodyBytes, handler)
 }
 
 // Apply delivers a Reply or Reject to the call that waits for its token. It returns
--- a/cmd/fuchsiacrossd/main.go
+++ b/cmd/fuchsiacrossd/main.go
@@ -14,6 +14,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -27,6 +28,13 @@
 	"fuchsiacross/settings"
 )
 
+const (
+	// heapLimitFraction is the part of the memory setting for the Go heap; the rest is for
+	// stacks, buffers of sockets and the runtime.
+	heapLimitFraction = 0.7
+	mebibyte          = 1 << 20
+)
+
 type options struct {
 	Settings string `long:"settings" required:"true" value-name:"FILE" description:"JSON file with the settings"`
 	Check    bool   `long:"check" description:"check the settings and exit"`
@@ -47,6 +55,7 @@
 	if o.Check {
 		return 0
 	}
+	debug.SetMemoryLimit(int64(heapLimitFraction * float64(s.Limits.MemoryMegabytes*mebibyte)))
 	if err := serve(s); err != nil {
 		fmt.Fprintln(os.Stderr, "fuchsiacrossd:", err)
 		return 1
--- a/crowd/daemon_crowd_test.go
+++ b/crowd/daemon_crowd_test.go
@@ -55,16 +55,24 @@
 	operators := func(p *daemonProcess) netip.AddrPort { return p.operator }
 	peers := func(p *daemonProcess) netip.AddrPort { return p.peer }
 	counters := func(p *daemonProcess) netip.AddrPort { return p.counters }
+	authorised := "\r\nAuthorization: Bearer " + operatorsToken
 	tests := []struct {
 		name      string
 		encrypted bool
 		address   func(*daemonProcess) netip.AddrPort
 		attack    attack
 	}{
+		{"bodies that stop short", false, callers, sendEach(daemonBodyConnections, rpcBody(submitPath, "", daemonBodyBytes, daemonBodyBytes))},
+		{"bodies that stop short, piece by piece", false, callers, sendEach(daemonBodyConnections, rpcBody(submitPath, "", daemonBodyBytes, pieceBytes))},
+		{"large chunks", false, callers, sendEach(daemonBodyConnections, rpcChunks(submitPath, "", daemonBodyBytes, largeChunkBytes))},
+		{"very small chunks", false, callers, sendEach(daemonBodyConnections, rpcChunks(submitPath, "", daemonBodyBytes, smallChunkBytes))},
+		{"compressed bodies", false, callers, sendEach(2*daemonBodyConnections, sendCompressed)},
 		{"responses that are not read", false, callers, sendEach(bodyConnections, sendStatusCalls)},
 		{"half headers of callers", false, callers, sendEach(daemonConnections, sendHalfHeader)},
 		{"half handshakes of callers", true, callers, sendEach(daemonConnections, sendHalfHandshake)},
 		{"half headers of operators", false, operators, sendEach(daemonConnections, sendHalfHeader)},
+		{"bodies of operators without credentials", false, operators, sendEach(bodyConnections, rpcBody(editPath, "", streamBodyBytes, streamBodyBytes))},
+		{"bodies of operators that stop short", false, operators, sendEach(daemonBodyConnections, rpcBody(editPath, authorised, 2_000_000, 2_000_000))},
 		{"half headers of peers", false, peers, sendEach(daemonConnections, sendHalfHeader)},
 		{"half headers at the metrics address", false, counters, sendEach(daemonConnections, sendHalfHeader)},
 		{"metrics that are not read", false, counters, sendEach(bodyConnections, sendMetricsCalls)},
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -214,6 +214,7 @@
 		StoreBody: d.platform.StoreBody,
 		Limits:    limits,
 		MaxCalls:  int(s.Limits.MaxCalls),
+		Budget:    d.bounded.Budget(),
 		Log:       d.log,
 		Metrics:   d.metrics,
 	})
@@ -230,6 +231,7 @@
 		History:     d.readHistory,
 		Timeline:    d.timelineRing,
 		Credentials: credentials,
+		Budget:      d.bounded.Budget(),
 		Log:         d.log,
 		Metrics:     d.metrics,
 	})
--- a/operator/server.go
+++ b/operator/server.go
@@ -13,6 +13,7 @@
 
 	"fuchsiacross/document"
 	"fuchsiacross/event"
+	"fuchsiacross/intake"
 	"fuchsiacross/logevent"
 	"fuchsiacross/model"
 	"fuchsiacross/operatorv1/operatorv1connect"
@@ -50,8 +51,9 @@
 	// selects the edits of all sections.
 	History     func(ctx context.Context, section string, limit int) ([]HistoryEntry, error)
 	Timeline    *timeline.Ring
-	Credentials *Credentials // nil if none are configured
-	MaxCalls    int          // limit of concurrent calls; 0 for the default of 64
+	Credentials *Credentials   // nil if none are configured
+	MaxCalls    int            // limit of concurrent calls; 0 for the default of 64
+	Budget      *intake.Budget // for the bodies of calls; nil for one of their own
 	Log         *zap.Logger
 	Metrics     metrics.Registry
 }
@@ -76,6 +78,9 @@
 	if o.Metrics == nil {
 		o.Metrics = metrics.NewRegistry()
 	}
+	if o.Budget == nil {
+		o.Budget = rpcserver.DefaultBudget()
+	}
 	if o.MaxCalls == 0 {
 		o.MaxCalls = defaultMaxCalls
 	}
@@ -93,8 +98,8 @@
 // Handler returns the path prefix of the service and its HTTP handler.
 func (s *Server) Handler() (path string, handler http.Handler) {
 	path, handler = operatorv1connect.NewOperatorServiceHandler(s, rpcserver.HandlerOptions(document.MaxSectionBytes)...)
-	handler = rpcserver.LimitBody(document.MaxSectionBytes, handler)
-	return path, s.admitCall(handler)
+	handler = rpcserver.BoundBodies(s.options.Budget, document.MaxSectionBytes, s.limitCalls(handler))
+	return path, s.authenticate(handler)
 }
 
 // Apply delivers an AnswerQuery or Reject to the call that waits for its token. It
@@ -124,18 +129,12 @@
 	return team
 }
 
-// admitCall returns a handler that limits concurrent calls, authenticates each call by
-// its bearer token, and passes the call with its team in the context on to next.
-func (s *Server) admitCall(next http.Handler) http.Handler {
+// authenticate returns a handler that authenticates each call by its bearer token, and passes
+// the call with its team in the context on to next.
+func (s *Server) authenticate(next http.Handler) http.Handler {
 	errorWriter := connect.NewErrorWriter()
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.calls.Inc(1)
-		release, err := s.limiter.Acquire()
-		if err != nil {
-			_ = errorWriter.Write(w, r, err)
-			return
-		}
-		defer release()
 		if s.options.Credentials != nil {
 			token, hasBearer := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 			team, ok := s.options.Credentials.Team(token)
@@ -152,6 +151,21 @@
 	})
 }
 
+// limitCalls returns a handler that limits concurrent calls. A call counts from the end of its
+// body, so that bodies that stop short take no calls from others.
+func (s *Server) limitCalls(next http.Handler) http.Handler {
+	errorWriter := connect.NewErrorWriter()
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		release, err := s.limiter.Acquire()
+		if err != nil {
+			_ = errorWriter.Write(w, r, err)
+			return
+		}
+		defer release()
+		next.ServeHTTP(w, r)
+	})
+}
+
 // queryReducer gets a view of type T from the reducer.
 func queryReducer[T any](ctx context.Context, s *Server, view event.ViewKind, request model.RequestID) (T, error) {
 	var zero T
--- a/rpcserver/strict.go
+++ b/rpcserver/strict.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/http"
 
 	"connectrpc.com/connect"
 	"github.com/go-faster/errors"
@@ -24,27 +23,12 @@
 		connect.WithReadMaxBytes(maxReadBytes(maxField)),
 		connect.WithCodec(strictJSON{"json"}),
 		connect.WithCodec(strictJSON{"json; charset=utf-8"}),
+		connect.WithInterceptors(connect.UnaryInterceptorFunc(releaseBody)),
 	}
 }
 
 func maxReadBytes(maxField int64) int { return int(2*maxField + maxEnvelopeBytes) }
 
-// LimitBody refuses a request whose declared length exceeds the limit of HandlerOptions.
-// It reports invalid_argument, because callers would retry the resource_exhausted with
-// which connect reports an oversized message.
-func LimitBody(maxField int64, next http.Handler) http.Handler {
-	limit := int64(maxReadBytes(maxField))
-	errorWriter := connect.NewErrorWriter()
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.ContentLength > limit {
-			err := connect.NewError(connect.CodeInvalidArgument, errors.Errorf("body: %d bytes is above the limit of %d bytes", r.ContentLength, limit))
-			_ = errorWriter.Write(w, r, err)
-			return
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
 // InvalidArgument returns an invalid_argument error with one finding per line.
 func InvalidArgument(fs finding.List) error {
 	return connect.NewError(connect.CodeInvalidArgument, fs.Err())
