intake: streams of HTTP/2 count like connections

What was seen: 8 connections with 250 streams each, a body a stream, took fuchsiacrossd to 1,370 MB of 256; 400 connections with a frame of 1 MB without its end to 415 MB; 100 connections with 250 streams whose windows are closed to 933 MB; 4,000 half header blocks to 272 MB and 4,014 descriptors.

Cause: HTTP/2 has many requests on one connection, so that a bound on connections holds nothing back. A connection also buffered frames of up to 1 MB and a window of 1 MB, and a client that closes its window holds a response for any time without blocking a write of the connection.

Change: each stream is an entry of the table of its address, with the phases of an HTTP/1 request, and is evicted by itself: its body fails and it gets its refusal, while the other streams go on. The connection itself is not evicted while it has streams. A stream that cannot be admitted gets 503; if too many of these refusals are not read, their connections are closed.

--- a/intake/listener.go
+++ b/intake/listener.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -31,7 +32,7 @@
 
 // Options are the options of a listener.
 type Options struct {
-	MaxConnections int
+	MaxConnections int // connections and streams of HTTP/2 together
 	// ReceiveBytes and SendBytes are the buffer sizes of each socket as setsockopt takes
 	// them; the kernel doubles them. Zero leaves the size to the kernel.
 	ReceiveBytes, SendBytes int
@@ -46,6 +47,8 @@
 	mu     sync.Mutex
 	table  *Table
 	owners map[*Entry]*request
+
+	openRefusals atomic.Int64 // streams that are being refused
 }
 
 // Listen opens an address.
@@ -131,8 +134,8 @@
 	}
 }
 
-// request is an entry of the table with what its eviction has to interrupt. The requests of a
-// connection share it.
+// request is an entry of the table with what its eviction has to interrupt. The requests of an
+// HTTP/1 connection share that of the connection; a stream of HTTP/2 has its own.
 type request struct {
 	listener      *Listener
 	entry         *Entry // its phase is guarded by Listener.mu
@@ -194,7 +197,7 @@
 	return c
 }
 
-// Open returns the number of open connections.
+// Open returns the number of open connections and streams.
 func (l *Listener) Open() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -205,7 +208,8 @@
 type Conn struct {
 	net.Conn
 	listener *Listener
-	request  request // of all its requests
+	request  request // of HTTP/1, one after the other
+	streams  streams // of HTTP/2
 	sending  sending
 
 	mu           sync.Mutex
@@ -253,7 +257,7 @@
 	}
 	if n > 0 {
 		c.listener.mu.Lock()
-		if c.request.entry.Phase() == PhaseIdle {
+		if c.request.entry.Phase() == PhaseIdle && !c.streams.seen {
 			c.listener.table.Move(c.request.entry, PhaseReceiving)
 		}
 		c.listener.mu.Unlock()
@@ -299,7 +303,7 @@
 // RecordState is the ConnState function of servers.
 func RecordState(c net.Conn, state http.ConnState) {
 	if found := find(c); found != nil && state == http.StateIdle {
-		found.request.begin(PhaseIdle)
+		found.recordIdle()
 	}
 }
 
@@ -318,6 +322,13 @@
 
 // requestOf returns the entry of a request, or nil if its server has no Listener.
 func requestOf(r *http.Request) *request {
+	if r.ProtoMajor >= http2Major {
+		s, _ := r.Context().Value(streamKey{}).(*stream)
+		if s == nil {
+			return nil
+		}
+		return &s.request
+	}
 	if c := connOf(r); c != nil {
 		return &c.request
 	}
@@ -337,6 +348,10 @@
 func Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := connOf(r)
+		if c != nil && r.ProtoMajor >= http2Major {
+			c.serveStream(next, w, r)
+			return
+		}
 		if r.ContentLength == 0 {
 			if c != nil && r.Header.Get("Upgrade") == "" {
 				c.request.begin(PhaseServing)
--- a/intake/table.go
+++ b/intake/table.go
@@ -7,16 +7,17 @@
 
 // The phases of a connection.
 const (
-	PhaseIdle      Phase = iota // no byte of the next request has been read
-	PhaseReceiving              // the header or the body of a request is incomplete
-	PhaseServing                // a whole request is processed
-	PhaseSending                // a part of a response is being written
-	PhaseLinked                 // it is a link to another instance
-	PhaseEvicted                // it is about to be closed
+	PhaseIdle        Phase = iota // no byte of the next request has been read
+	PhaseReceiving                // the header or the body of a request is incomplete
+	PhaseServing                  // a whole request is processed
+	PhaseSending                  // a part of a response is being written
+	PhaseLinked                   // it is a link to another instance
+	PhaseMultiplexed              // HTTP/2 with open streams, which are entries of their own
+	PhaseEvicted                  // it is about to be closed
 	phaseCount
 )
 
-// Entry is a connection of a Table.
+// Entry is a connection of a Table, or a stream of HTTP/2, which counts like a connection.
 type Entry struct {
 	phase   Phase
 	element *list.Element
