home, scheduler, daemon: the bodies of waiting requests are bounded

What was seen: 100 urgent requests with bodies of 4,000,000 bytes that no worker could start took fuchsiacrossd to 737 MB of 256, and all crowds of the daemon at once, in three waves, to 2,059 MB.

Cause: requests that wait were bounded by their number only, 10,000, each with a body of up to 4 MiB, and the body of an urgent request was kept for 10 s after its outcome. The budget for bodies does not cover this: it releases a body when its call ends, and the request goes on when its caller leaves.

A body is dropped with the outcome.

--- a/crowd/daemon_crowd_test.go
+++ b/crowd/daemon_crowd_test.go
@@ -66,6 +66,7 @@
 		{"bodies that stop short, piece by piece", false, callers, sendEach(daemonBodyConnections, rpcBody(submitPath, "", daemonBodyBytes, pieceBytes))},
 		{"large chunks", false, callers, sendEach(daemonBodyConnections, rpcChunks(submitPath, "", daemonBodyBytes, largeChunkBytes))},
 		{"very small chunks", false, callers, sendEach(daemonBodyConnections, rpcChunks(submitPath, "", daemonBodyBytes, smallChunkBytes))},
+		{"whole bodies that wait", false, callers, sendEach(daemonBodyConnections, sendWaitingRequest)},
 		{"compressed bodies", false, callers, sendEach(2*daemonBodyConnections, sendCompressed)},
 		{"bodies of HTTP/2 streams", false, callers, openStreams},
 		{"half frames of HTTP/2", false, callers, sendEach(frameConnectionsHTTP2, sendHalfFrameHTTP2)},
@@ -255,3 +256,54 @@
 	<-r.ctx.Done()
 	return 0, r.ctx.Err()
 }
+
+// TestDaemonSeries plays the crowds at all addresses at once and in series.
+func TestDaemonSeries(t *testing.T) {
+	p := startDaemon(t, false)
+	for range waves {
+		closeAll := openAllDaemonCrowds(p)
+		time.Sleep(settlingTime)
+		p.requireOrdinaryAnswer(t)
+		p.requireWithinBounds(t)
+		closeAll()
+	}
+	p.requireOrdinaryAnswer(t)
+	p.requireWithinBounds(t)
+}
+
+func openAllDaemonCrowds(p *daemonProcess) (closeAll func()) {
+	crowds := []struct {
+		address netip.AddrPort
+		attack  attack
+	}{
+		{p.caller, sendEach(daemonBodyConnections/4, rpcBody(submitPath, "", daemonBodyBytes, daemonBodyBytes))},
+		{p.caller, sendEach(daemonBodyConnections/4, rpcBody(submitPath, "", daemonBodyBytes, pieceBytes))},
+		{p.caller, sendEach(daemonBodyConnections/4, rpcChunks(submitPath, "", daemonBodyBytes, largeChunkBytes))},
+		{p.caller, sendEach(daemonBodyConnections/4, rpcChunks(submitPath, "", daemonBodyBytes, smallChunkBytes))},
+		{p.caller, sendEach(daemonBodyConnections/4, sendCompressed)},
+		{p.caller, sendEach(daemonBodyConnections/4, sendWaitingRequest)},
+		{p.caller, sendEach(frameConnectionsHTTP2/4, sendHalfFrameHTTP2)},
+		{p.caller, sendEach(unreadConnections/4, sendStreamsWithoutWindow)},
+		{p.caller, sendEach(daemonConnections/8, sendHalfHeader)},
+		{p.operator, sendEach(daemonConnections/8, sendHalfHeader)},
+		{p.peer, sendEach(daemonConnections/8, sendHalfHeader)},
+		{p.counters, sendEach(daemonConnections/8, sendHalfHeader)},
+	}
+	var mu sync.Mutex
+	var closers []func()
+	var attacks sync.WaitGroup
+	for _, c := range crowds {
+		attacks.Go(func() {
+			closeCrowd := c.attack(c.address)
+			mu.Lock()
+			defer mu.Unlock()
+			closers = append(closers, closeCrowd)
+		})
+	}
+	attacks.Wait()
+	return func() {
+		for _, closeCrowd := range closers {
+			closeCrowd()
+		}
+	}
+}
--- a/crowd/instance_crowd_test.go
+++ b/crowd/instance_crowd_test.go
@@ -15,6 +15,7 @@
 
 const (
 	unreadCallers  = 1200
+	waves          = 3
 	pipelinedCalls = 2000
 )
 
--- a/home/partition.go
+++ b/home/partition.go
@@ -353,9 +353,10 @@
 			continue
 		}
 		t.releaseResources(now, r)
-		delete(t.requests, r.spec.ID)
+		spec := r.spec // Reroute needs its body
+		t.removeRequest(r)
 		if len(r.waiters) > 0 {
-			t.opts.Reroute(now, r.spec, r.waiters)
+			t.opts.Reroute(now, spec, r.waiters)
 		}
 	}
 	p.rerouteParked(now)
--- a/home/recover.go
+++ b/home/recover.go
@@ -54,7 +54,7 @@
 // state is unknown.
 func (t *Table) restoreEntry(now time.Time, p *partition, e *requestjournal.Entry) {
 	r := restoreRequest(p, e)
-	t.requests[e.Request.ID] = r
+	t.keepRequest(r)
 	// The journal has no intents of requests that may run more than once, so an
 	// earlier holder may have started this one.
 	r.attemptMayHaveRun = r.attemptMayHaveRun || !r.atMostOnce()
--- a/home/settle.go
+++ b/home/settle.go
@@ -91,6 +91,7 @@
 		t.dropIfEnded(r)
 		return
 	}
+	t.dropBody(r)
 	r.dropAt = now.Add(settledRetention)
 	t.settledEphemeral = append(t.settledEphemeral, r)
 }
@@ -105,7 +106,7 @@
 			return
 		}
 	}
-	delete(t.requests, r.spec.ID)
+	t.removeRequest(r)
 }
 
 // maxSettledEphemeral is the maximum number of settled ephemeral requests
@@ -119,7 +120,7 @@
 	for n < len(t.settledEphemeral) && (now.After(t.settledEphemeral[n].dropAt) || len(t.settledEphemeral)-n > maxSettledEphemeral) {
 		r := t.settledEphemeral[n]
 		if t.requests[r.spec.ID] == r {
-			delete(t.requests, r.spec.ID)
+			t.removeRequest(r)
 		}
 		t.settledEphemeral[n] = nil
 		n++
--- a/home/table.go
+++ b/home/table.go
@@ -36,6 +36,9 @@
 	Reroute func(now time.Time, r *model.Request, waiters []Waiter)
 	// MaxQueued is the maximum number of requests that this instance keeps.
 	MaxQueued int
+	// MaxBodyBytes limits the bodies of the requests that are kept and have no outcome; zero
+	// means no limit.
+	MaxBodyBytes int64
 }
 
 // Table keeps the requests whose home is this instance. It is not safe for
@@ -43,6 +46,7 @@
 type Table struct {
 	opts              Options
 	requests          map[model.RequestID]*request
+	bodyBytes         int64 // of the bodies in requests
 	partitions        []partition
 	reservations      map[event.CallID]*reservation
 	forwardedCalls    map[event.CallID]*request
@@ -208,7 +212,7 @@
 		}
 	}
 	t.opts.Queue.Remove(r.spec.ID, 0)
-	delete(t.requests, r.spec.ID)
+	t.removeRequest(r)
 	for _, w := range r.waiters {
 		w.Reject(t.opts.Emit, event.CodeUnavailable, "", "no worker has room here")
 	}
@@ -217,11 +221,30 @@
 // addRequest starts to keep a request; p is nil if it is ephemeral.
 func (t *Table) addRequest(spec *model.Request, p *partition) *request {
 	r := newRequest(spec, p)
-	t.requests[spec.ID] = r
+	t.keepRequest(r)
 	t.Counters.Submitted++
 	return r
 }
 
+func (t *Table) keepRequest(r *request) {
+	t.requests[r.spec.ID] = r
+	t.bodyBytes += int64(len(r.spec.Body))
+}
+
+func (t *Table) removeRequest(r *request) {
+	t.dropBody(r)
+	delete(t.requests, r.spec.ID)
+}
+
+// dropBody drops the body of a request that no attempt needs any more.
+func (t *Table) dropBody(r *request) {
+	if len(r.spec.Body) == 0 {
+		return
+	}
+	t.bodyBytes -= int64(len(r.spec.Body))
+	r.spec = withoutBody(r.spec)
+}
+
 // joinExisting adds a waiter to a request that is already known. It rejects a
 // submission that reuses the identifier for different content.
 func (t *Table) joinExisting(r *request, w Waiter, spec *model.Request) {
@@ -279,6 +302,10 @@
 		w.Reject(t.opts.Emit, event.CodeExhausted, "", "the instance holds as many requests as it may")
 		return false
 	}
+	if limit := t.opts.MaxBodyBytes; limit > 0 && len(spec.Body) > 0 && t.bodyBytes+int64(len(spec.Body)) > limit {
+		w.Reject(t.opts.Emit, event.CodeExhausted, "body", "the instance holds as many bytes of waiting requests as it may")
+		return false
+	}
 	if !spec.Deadline.After(now) {
 		t.refuseSubmission(w, spec, event.CodeInvalid, "deadline", "the deadline has passed")
 		return false
--- a/scheduler/reducer.go
+++ b/scheduler/reducer.go
@@ -24,6 +24,7 @@
 	Partitions           uint32  // number of journal partitions; the same at all instances
 	StoreWritesPerSecond float64 // journal write budget of the whole cell
 	MaxQueued            int     // limit of unsettled requests held by this instance
+	MaxBodyBytes         int64   // limit of the bodies of unsettled requests; zero means no limit
 	Timing               membership.Timing
 }
 
@@ -109,21 +110,22 @@
 		DeliverFenceReply: r.deliverFenceReply,
 	})
 	r.homes = home.New(home.Options{
-		Self:        o.Self.ID,
-		Incarnation: o.Incarnation,
-		Partitions:  o.Partitions,
-		Index:       r.index,
-		Leases:      r.leases,
-		Members:     r.members,
-		Queue:       r.queue,
-		Quota:       r.quota,
-		RetryBudget: r.retryBudget,
-		WriteBudget: r.writeBudget,
-		NextCall:    r.nextCall,
-		Random:      r.random.Uint64,
-		Emit:        r.emit,
-		Reroute:     func(now time.Time, q *model.Request, ws []home.Waiter) { r.entries.Reroute(now, q, ws) },
-		MaxQueued:   o.MaxQueued,
+		Self:         o.Self.ID,
+		Incarnation:  o.Incarnation,
+		Partitions:   o.Partitions,
+		Index:        r.index,
+		Leases:       r.leases,
+		Members:      r.members,
+		Queue:        r.queue,
+		Quota:        r.quota,
+		RetryBudget:  r.retryBudget,
+		WriteBudget:  r.writeBudget,
+		NextCall:     r.nextCall,
+		Random:       r.random.Uint64,
+		Emit:         r.emit,
+		Reroute:      func(now time.Time, q *model.Request, ws []home.Waiter) { r.entries.Reroute(now, q, ws) },
+		MaxQueued:    o.MaxQueued,
+		MaxBodyBytes: o.MaxBodyBytes,
 	})
 	r.entries = entry.New(entry.Options{
 		Self:        o.Self.ID,
