daemon, caller, intake: clients that do not behave do not hold up a shutdown

What was seen: after SIGTERM, with clients that stop short of the end of their bodies and others that use their open connections until the process is gone, fuchsiacrossd waited for the whole of shutdown_seconds and ended with code 1 ("requests were still in flight").

Cause: the shutdown waits until no call is pending, and went on accepting status calls, each of which then waited for a partition that the instance had given up. After that, the servers waited for connections whose request or response never ends, one server after the other.

Change: from the begin of a shutdown, calls of callers are refused as unavailable before their bodies are read, and connections close after it. Requests that are incomplete and responses that are not read are evicted, since nothing further is served. The servers of all addresses shut down at the same time. Requests that have been read whole are answered as before.

--- a/caller/server.go
+++ b/caller/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -54,6 +55,7 @@
 	options        Options
 	limiter        *rpcserver.CallLimiter
 	pendingCalls   *rpcserver.PendingCalls
+	draining       atomic.Bool
 	calls          metrics.Counter
 	refusedCalls   metrics.Counter
 	droppedReplies metrics.Counter
@@ -85,7 +87,25 @@
 // Handler returns the path prefix of the service and its HTTP handler.
 func (s *Server) Handler() (path string, handler http.Handler) {
 	path, handler = callerv1connect.NewCallerServiceHandler(s, rpcserver.HandlerOptions(s.options.Limits.MaxBodyBytes)...)
-	return path, rpcserver.BoundBodies(s.options.Budget, s.options.Limits.MaxBodyBytes, handler)
+	return path, s.refuseWhileDraining(rpcserver.BoundBodies(s.options.Budget, s.options.Limits.MaxBodyBytes, handler))
+}
+
+// Drain makes the server refuse all calls that follow with unavailable, so that clients with open
+// connections do not keep a shutdown waiting.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+func (s *Server) refuseWhileDraining(next http.Handler) http.Handler {
+	errorWriter := connect.NewErrorWriter()
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !s.draining.Load() {
+			next.ServeHTTP(w, r)
+			return
+		}
+		s.calls.Inc(1)
+		s.refusedCalls.Inc(1)
+		w.Header().Set("Connection", "close")
+		_ = errorWriter.Write(w, r, connect.NewError(connect.CodeUnavailable, errors.New("the instance is shutting down")))
+	})
 }
 
 // Apply delivers a Reply or Reject to the call that waits for its token. It returns
--- a/crowd/daemon_crowd_test.go
+++ b/crowd/daemon_crowd_test.go
@@ -271,6 +271,19 @@
 	p.requireWithinBounds(t)
 }
 
+// TestDaemonStop asks a process to stop while clients press on it, some of which come back until
+// it is gone.
+func TestDaemonStop(t *testing.T) {
+	p := startDaemon(t, false)
+	closeAll := openAllDaemonCrowds(p)
+	defer closeAll()
+	stop := keepCrowd(p.caller, unreadCallers, sendStatusCalls)
+	defer stop()
+	time.Sleep(settlingTime)
+	p.requireWithinBounds(t)
+	p.requireStop(t)
+}
+
 func openAllDaemonCrowds(p *daemonProcess) (closeAll func()) {
 	crowds := []struct {
 		address netip.AddrPort
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -282,6 +282,7 @@
 // answered. If the context ends first, it returns an error.
 func (d *Daemon) Shutdown(ctx context.Context) error {
 	d.ready.Store(false)
+	d.callers.Drain()
 	d.mailbox.post(event.Shutdown{})
 	var err error
 	select {
@@ -289,8 +290,12 @@
 	case <-ctx.Done():
 		err = errors.Wrap(ctx.Err(), "requests were still in flight")
 	}
+	shutdowns := make(chan error, len(d.servers))
 	for _, x := range d.servers {
-		err = errors.Join(err, x.shutdown(ctx))
+		go func() { shutdowns <- x.shutdown(ctx) }()
+	}
+	for range d.servers {
+		err = errors.Join(err, <-shutdowns)
 	}
 	err = errors.Join(err, d.workers.Close(ctx), d.links.Close(ctx), d.platform.Close(ctx))
 	close(d.quit)
@@ -335,7 +340,25 @@
 	}()
 }
 
-func (x *server) shutdown(ctx context.Context) error { return x.http.Shutdown(ctx) }
+// evictionInterval is the time between two searches for incomplete requests in a shutdown.
+const evictionInterval = 20 * time.Millisecond
+
+// shutdown closes the listener and waits for the responses to requests that have been read
+// whole. Others are not served any more.
+func (x *server) shutdown(ctx context.Context) error {
+	done := make(chan error, 1)
+	go func() { done <- x.http.Shutdown(ctx) }()
+	ticker := time.NewTicker(evictionInterval)
+	defer ticker.Stop()
+	for {
+		x.listener.EvictIncomplete()
+		select {
+		case err := <-done:
+			return err
+		case <-ticker.C:
+		}
+	}
+}
 
 func (d *Daemon) closeServers() {
 	for _, x := range d.servers {
--- a/intake/budget.go
+++ b/intake/budget.go
@@ -26,7 +26,7 @@
 // The causes, as they appear in the names of metrics.
 const (
 	CauseBudget   Cause = "budget"    // more bytes than are left
-	CauseEvicted  Cause = "evicted"   // one of the oldest incomplete bodies when space ran out
+	CauseEvicted  Cause = "evicted"   // incomplete when space ran out or the server stopped
 	CauseTooSlow  Cause = "too_slow"  // it did not arrive in time
 	CauseTooLarge Cause = "too_large" // above the limit of a body
 )
@@ -47,7 +47,7 @@
 		text  string
 	}{
 		{CauseBudget, "the instance has no memory left for the body"},
-		{CauseEvicted, "the body was incomplete when the memory for bodies ran out"},
+		{CauseEvicted, "the body was incomplete when the instance ran out of memory or connections, or stopped"},
 		{CauseTooSlow, "the body did not arrive in time"},
 	}
 	for _, t := range texts {
--- a/intake/listener.go
+++ b/intake/listener.go
@@ -197,6 +197,24 @@
 	return c
 }
 
+// EvictIncomplete evicts all connections and streams whose request is incomplete or whose client
+// does not read the response. A server that stops calls it, since it serves no further requests.
+func (l *Listener) EvictIncomplete() {
+	l.mu.Lock()
+	var victims []*request
+	for entry, owner := range l.owners {
+		if phase := entry.Phase(); phase == PhaseReceiving || phase == PhaseSending {
+			l.table.Move(entry, PhaseEvicted)
+			victims = append(victims, owner)
+		}
+	}
+	l.mu.Unlock()
+	for _, victim := range victims {
+		victim.interrupt()
+		notify(l.options.OnEvicted)
+	}
+}
+
 // Open returns the number of open connections and streams.
 func (l *Listener) Open() int {
 	l.mu.Lock()
