backlog, dispatch, instance: the memory of the jobs at a leader is bounded

What was seen: 20,000 small jobs with a TaskSpec of 3,900 bytes that nothing runs, sent on 16 connections, are all accepted and take a leader to 177 MB of 96. With the crowds of TestCrowd beside them in three waves it takes 189 MB, and asked to stop 185 MB.

Cause: a leader keeps every accepted job in memory until the retention time after its end is over, and nothing bounded that. While no leader is known, instances accept jobs without bound, which the next leader loads at once.

Change: a leader adds up what the jobs that it knows need (dispatch.MemoryBytes), by queue. From three quarters of a sixth of memory_megabytes on, it refuses further jobs of queues above an equal share, and at the whole of it all jobs, so that a queue that nothing runs does not close the others. It announces this at once and with its confirmations. Instances answer 429 with a Retry-After that follows from the speed at which jobs end, 1 to 30 s, after they have made sure that no earlier submission of the job is stored; if that cannot be told, 504. An instance that does not hear from the leader accepts an eighth of the limit. An announcement counts for 2 s.

A job of another queue is accepted meanwhile, the accepted jobs are known, and the refused ones are not. The estimate is 1.2 to 1.9 times the heap that jobs take before they start.

--- a/crowd/daemon_crowd_test.go
+++ b/crowd/daemon_crowd_test.go
@@ -166,6 +166,8 @@
 	return err
 }
 
+const pipelinedCalls = 2000
+
 // sendStatusCalls sends calls one after the other and reads no response.
 func sendStatusCalls(w io.Writer, _ int) error {
 	const body = `{"requestId":"unknown"}`
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -136,6 +136,9 @@
 	// Admission tells which tenants' jobs instances are to refuse; nil except every
 	// admissionInterval, and always without tenants.
 	Admission *Admission
+	// Backlog tells of which queues instances are to refuse jobs because the leader has no
+	// memory for more; nil except every admissionInterval.
+	Backlog *BacklogReport
 	// RunTimes compares predicted and measured run times; nil except every few seconds.
 	RunTimes *runtimes.Report
 	// Notes lists decisions and observations for the log.
@@ -254,6 +257,7 @@
 	NoteTenantAtQuota
 	NoteStepAboveQuota
 	NoteShareExceeded
+	NoteBacklogFull
 	NoteRunTimesNotRestored
 	// NoteKindCount is the number of kinds.
 	NoteKindCount
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -29,6 +29,7 @@
 	forecast             *runtimes.Forecast    // of the job's queue
 	offeredAt            time.Time             // zero once the job is stored
 	beyondShare          bool                  // its tenant had used up its share when it was accepted
+	countedBytes         int64                 // in the backlog
 	planVersion          int                   // version of the forecast that the plan uses
 }
 
--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -26,6 +26,8 @@
 	"slices"
 	"time"
 
+	"fuchsiacross/backlog"
+
 	"fuchsiacross/job"
 	"fuchsiacross/quota"
 	"fuchsiacross/runtimes"
@@ -85,7 +87,9 @@
 	Shard int
 	// MaxRowBytes is the largest value of a row that the store accepts; zero means no limit.
 	MaxRowBytes int
-	Policy      Policy
+	// MaxBacklogBytes limits the memory of the jobs that are known; zero means no limit.
+	MaxBacklogBytes int64
+	Policy          Policy
 }
 
 // Policy changes the order of waiting work. The zero value is the policy in use; the
@@ -165,6 +169,8 @@
 	openSave     *Save // the save without a result, or nil
 	lastSaveAt   time.Time
 
+	backlogState
+
 	starts startwindow.Window
 	advice advisor
 	quota  *quota.Ledger
@@ -200,6 +206,7 @@
 		advice:             newAdvisor(),
 		quota:              quota.NewLedger(),
 		shares:             share.NewMeter(o.LeaderCount),
+		backlogState:       backlogState{backlog: backlog.NewMeter(o.MaxBacklogBytes)},
 	}
 	if !o.FirstLeader {
 		r.predecessorSuspectedAt = o.PredecessorSuspectedAt
@@ -227,6 +234,7 @@
 		r.runPass()
 		r.requestAdvice()
 	}
+	r.reportBacklog()
 	r.readWorkers()
 	r.startSave()
 	return r.effects
@@ -431,6 +439,8 @@
 	j.state = state
 	r.scheduleRemoval(j)
 	j.job.Definition.Spec = "" // no task of the job starts any more
+	r.uncountJob(j)
+	r.countJob(j)
 	delete(r.timedJobs, j)
 	r.unsavedJobs[j] = struct{}{}
 	for _, o := range j.occurrences {
--- a/dispatch/retention.go
+++ b/dispatch/retention.go
@@ -74,6 +74,9 @@
 		case withdrawn && c.rowsRemoved:
 			delete(r.withdrawnJobs, c.id)
 		case c.rowsRemoved && (j == nil || j.closed()):
+			if j != nil {
+				r.uncountJob(j)
+			}
 			delete(r.jobs, c.id)
 			delete(r.unsavedJobs, j)
 			r.progressRemovals = append(r.progressRemovals, c.id)
--- a/instance/effects.go
+++ b/instance/effects.go
@@ -40,6 +40,9 @@
 	if e.Admission != nil {
 		l.announceAdmission(e.Admission)
 	}
+	if e.Backlog != nil {
+		l.announceBacklog(e.Backlog)
+	}
 	if l.released.Load() || l.ctx.Err() != nil {
 		return
 	}
@@ -202,6 +205,7 @@
 	dispatch.NoteTenantAtQuota:          logevent.TenantAtQuota,
 	dispatch.NoteStepAboveQuota:         logevent.StepAboveQuota,
 	dispatch.NoteShareExceeded:          logevent.ShareExceeded,
+	dispatch.NoteBacklogFull:            logevent.BacklogFull,
 	dispatch.NoteRunTimesNotRestored:    logevent.RunTimesNotRestored,
 }
 
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -28,6 +28,7 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"fuchsiacross/backlog"
 	"fuchsiacross/boundedhttp"
 	"fuchsiacross/intake"
 	"fuchsiacross/link"
@@ -69,7 +70,9 @@
 	shardTable         atomic.Pointer[shardTable]
 	shardsKnown        chan struct{} // closed when the map of shards is known
 	storeHealth        storehealth.Health
-	gate               *share.Gate // refuses jobs beyond their tenants' shares
+	gate               *share.Gate   // refuses jobs beyond their tenants' shares
+	backlogGate        *backlog.Gate // refuses jobs for which leaders have no memory
+	refusalChecks      chan struct{} // one element for each check whether a job to refuse is stored
 	stopping           atomic.Bool
 
 	mu                sync.Mutex // also guards the mutable fields of the shards
@@ -92,7 +95,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	i := &Instance{
 		settings: s, incarnation: time.Now().UnixMicro(), log: log, metrics: metrics.NewRegistry(), dropped: dropped,
-		store: store.New(s.StoreAddress), runner: runner.New(), keys: newKeyState(), gate: share.NewGate(),
+		store: store.New(s.StoreAddress), runner: runner.New(), keys: newKeyState(), gate: share.NewGate(), backlogGate: backlog.NewGate(maxBacklogBytes(&s)), refusalChecks: make(chan struct{}, maxRefusalChecks),
 		configurationKnown: make(chan struct{}), shardsKnown: make(chan struct{}), pendingRequests: map[int64]chan link.Message{},
 		ctx: ctx, cancel: cancel,
 	}
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"fuchsiacross/backlog"
 	"fuchsiacross/dispatch"
 	"fuchsiacross/job"
 	"fuchsiacross/jobstore"
@@ -68,6 +69,7 @@
 	lastWriteTime        time.Duration // duration of the last write to the store
 	resigning            bool
 	admission            *dispatch.Admission // the last one; nil without tenants
+	backlogRefusals      []backlog.Refusal
 
 	load leaderLoad // of the control goroutine, which alone uses it
 }
@@ -101,6 +103,7 @@
 		MaxHoldMilliseconds: i.settings.MaxHoldMilliseconds, StopTimeoutMilliseconds: i.settings.StopTimeoutMilliseconds,
 		RetentionSeconds: i.settings.RetentionSeconds, LeaderCount: s.table.shardMap.Shards, Shard: s.number,
 		MaxRowBytes:      i.settings.MaxRowBytes,
+		MaxBacklogBytes:  maxBacklogBytes(&i.settings),
 		MaxPendingStarts: max(minPendingStartsLimit, int(pendingStartsPerProcessor*s.availableProcessorShare())),
 	})
 	l.post(dispatch.ConfigurationChanged{Configuration: i.configuration.Load().Configuration})
@@ -306,6 +309,7 @@
 			rank, _ := slices.BinarySearchFunc(order, m, compareSuccessors)
 			m.conn.Send(l.confirmationMessage(int64(rank)))
 			l.sendAdmission(m.conn)
+			l.sendBacklog(m.conn)
 		}
 	}
 }
--- a/instance/member.go
+++ b/instance/member.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"fuchsiacross/backlog"
+
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
@@ -107,7 +109,7 @@
 // handleLeaderMessage handles a message from a leader.
 func (i *Instance) handleLeaderMessage(c *link.Conn, m link.Message) {
 	switch m.Kind {
-	case link.KindHello, link.KindLeadershipConfirmed, link.KindLeadershipReleased, link.KindAdmission:
+	case link.KindHello, link.KindLeadershipConfirmed, link.KindLeadershipReleased, link.KindAdmission, link.KindBacklog:
 		i.handleLeadershipMessage(c, m)
 	case link.KindAdviceRequest:
 		go i.handleAdviceRequest(c, m)
@@ -143,6 +145,7 @@
 		i.mu.Lock()
 		if s.leaderConn == c {
 			s.leaderHeardAt, s.successionRank, s.leaderWriteTime = now, m.Count, m.WriteDuration
+			i.backlogGate.Heard(s.number)
 		}
 		i.mu.Unlock()
 	case link.KindAdmission:
@@ -152,6 +155,13 @@
 		if isLeader {
 			i.gate.Announce(s.number, share.Announcement{Refusals: m.Refusals, At: now})
 		}
+	case link.KindBacklog:
+		i.mu.Lock()
+		isLeader := s.leaderConn == c
+		i.mu.Unlock()
+		if isLeader {
+			i.backlogGate.Announce(s.number, backlog.Announcement{Refusals: m.QueueRefusals, At: now})
+		}
 	case link.KindLeadershipReleased:
 		i.mu.Lock()
 		if s.leaderConn == c {
--- a/instance/requests.go
+++ b/instance/requests.go
@@ -58,6 +58,9 @@
 	if response, refused := s.refuseForTenant(deadline.Add(-answerMargin), &accepted); refused {
 		return response
 	}
+	if response, refused := s.refuseForBacklog(deadline.Add(-answerMargin), &accepted); refused {
+		return response
+	}
 	encoded, err := jobstore.EncodeJob(accepted)
 	if err != nil {
 		return job.Response{Outcome: job.OutcomeMalformed, Reason: err.Error()}
--- a/link/link.go
+++ b/link/link.go
@@ -25,6 +25,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
 
+	"fuchsiacross/backlog"
 	"fuchsiacross/intake"
 	"fuchsiacross/job"
 	"fuchsiacross/share"
@@ -71,6 +72,7 @@
 	KindConfigurationRequest                     // instance: requests a configuration that is newer than Version
 	KindConfigurationResponse                    // leader: the version that it has, in Data if newer; Known if it has confirmed it at the store
 	KindAdmission                                // leader: the tenants whose jobs beyond their share are to be refused
+	KindBacklog                                  // leader: the queues of which no jobs are to be accepted, since it has no memory for more
 )
 
 // Message is a message between a leader and an instance. Its kind determines which
@@ -91,37 +93,44 @@
 	Workers        []job.WorkerID
 	Tickets        []job.Ticket
 	Error          string
-	Outcome        job.Outcome     // of a KindStoreResponse
-	LeaderCapacity float64         // share of a full shard's load that the instance can lead for the shard
-	Version        int64           // of the row of a stored job, of the released leader row, or of a configuration
-	WriteDuration  time.Duration   // of the leader's last write to the store; milliseconds on the wire
-	Refusals       []share.Refusal // of a KindAdmission; milliseconds on the wire
-	Tenant         string          // of a request for a job's state or cancellation, or of a stored cancellation
+	Outcome        job.Outcome       // of a KindStoreResponse
+	LeaderCapacity float64           // share of a full shard's load that the instance can lead for the shard
+	Version        int64             // of the row of a stored job, of the released leader row, or of a configuration
+	WriteDuration  time.Duration     // of the leader's last write to the store; milliseconds on the wire
+	Refusals       []share.Refusal   // of a KindAdmission; milliseconds on the wire
+	QueueRefusals  []backlog.Refusal // of a KindBacklog; milliseconds on the wire
+	Tenant         string            // of a request for a job's state or cancellation, or of a stored cancellation
 }
 
 type wireMessage struct {
-	Kind              int           `cbor:"1,keyasint"`
-	Number            int64         `cbor:"2,keyasint,omitempty"`
-	Name              string        `cbor:"3,keyasint,omitempty"`
-	Token             int64         `cbor:"4,keyasint,omitempty"`
-	Job               string        `cbor:"6,keyasint,omitempty"`
-	Queue             string        `cbor:"7,keyasint,omitempty"`
-	State             string        `cbor:"8,keyasint,omitempty"`
-	Known             bool          `cbor:"9,keyasint,omitempty"`
-	Count             int64         `cbor:"10,keyasint,omitempty"`
-	Data              []byte        `cbor:"11,keyasint,omitempty"`
-	Occurrence        int64         `cbor:"12,keyasint,omitempty"`
-	Step              int           `cbor:"13,keyasint,omitempty"`
-	Workers           []string      `cbor:"14,keyasint,omitempty"`
-	Tickets           [][2]string   `cbor:"15,keyasint,omitempty"`
-	Error             string        `cbor:"16,keyasint,omitempty"`
-	Outcome           string        `cbor:"17,keyasint,omitempty"`
-	Version           int64         `cbor:"18,keyasint,omitempty"`
-	LeaderCapacity    float64       `cbor:"19,keyasint,omitempty"`
-	Shard             int           `cbor:"20,keyasint,omitempty"`
-	WriteMilliseconds int64         `cbor:"21,keyasint,omitempty"`
-	Tenant            string        `cbor:"22,keyasint,omitempty"`
-	Refusals          []wireRefusal `cbor:"30,keyasint,omitempty"`
+	Kind              int                `cbor:"1,keyasint"`
+	Number            int64              `cbor:"2,keyasint,omitempty"`
+	Name              string             `cbor:"3,keyasint,omitempty"`
+	Token             int64              `cbor:"4,keyasint,omitempty"`
+	Job               string             `cbor:"6,keyasint,omitempty"`
+	Queue             string             `cbor:"7,keyasint,omitempty"`
+	State             string             `cbor:"8,keyasint,omitempty"`
+	Known             bool               `cbor:"9,keyasint,omitempty"`
+	Count             int64              `cbor:"10,keyasint,omitempty"`
+	Data              []byte             `cbor:"11,keyasint,omitempty"`
+	Occurrence        int64              `cbor:"12,keyasint,omitempty"`
+	Step              int                `cbor:"13,keyasint,omitempty"`
+	Workers           []string           `cbor:"14,keyasint,omitempty"`
+	Tickets           [][2]string        `cbor:"15,keyasint,omitempty"`
+	Error             string             `cbor:"16,keyasint,omitempty"`
+	Outcome           string             `cbor:"17,keyasint,omitempty"`
+	Version           int64              `cbor:"18,keyasint,omitempty"`
+	LeaderCapacity    float64            `cbor:"19,keyasint,omitempty"`
+	Shard             int                `cbor:"20,keyasint,omitempty"`
+	WriteMilliseconds int64              `cbor:"21,keyasint,omitempty"`
+	Tenant            string             `cbor:"22,keyasint,omitempty"`
+	Refusals          []wireRefusal      `cbor:"30,keyasint,omitempty"`
+	QueueRefusals     []wireQueueRefusal `cbor:"31,keyasint,omitempty"`
+}
+
+type wireQueueRefusal struct {
+	Queue            string `cbor:"1,keyasint"`
+	WaitMilliseconds int64  `cbor:"2,keyasint"`
 }
 
 type wireRefusal struct {
@@ -145,6 +154,9 @@
 	for _, r := range m.Refusals {
 		w.Refusals = append(w.Refusals, wireRefusal{r.Tenant, r.Wait.Milliseconds()})
 	}
+	for _, r := range m.QueueRefusals {
+		w.QueueRefusals = append(w.QueueRefusals, wireQueueRefusal{r.Queue, r.Wait.Milliseconds()})
+	}
 	for _, t := range m.Tickets {
 		w.Tickets = append(w.Tickets, [2]string{string(t.Worker), t.Value})
 	}
@@ -165,6 +177,9 @@
 	for _, r := range w.Refusals {
 		m.Refusals = append(m.Refusals, share.Refusal{Tenant: r.Tenant, Wait: time.Duration(r.WaitMilliseconds) * time.Millisecond})
 	}
+	for _, r := range w.QueueRefusals {
+		m.QueueRefusals = append(m.QueueRefusals, backlog.Refusal{Queue: r.Queue, Wait: time.Duration(r.WaitMilliseconds) * time.Millisecond})
+	}
 	for _, t := range w.Tickets {
 		m.Tickets = append(m.Tickets, job.Ticket{Worker: job.WorkerID(t[0]), Value: t[1]})
 	}
