dispatch, backlog: due occurrences take no more memory than there is

Cause: the leader opens all due occurrences of a job, up to 10,000 tasks of each job, and counted one for each job in its backlog.

Change: each open occurrence counts. Further occurrences of a job than its first are opened only while the backlog is below half of its limit; the others wait. The rest is left to new jobs. A single job is admitted whatever its size is while no leader is heard.

TestOccurrencesNeedRoom fails without the check.

--- a/backlog/backlog_test.go
+++ b/backlog/backlog_test.go
@@ -32,7 +32,7 @@
 			m := backlog.NewMeter(test.limit)
 			m.Refusals(start, 3)
 			m.Add("a", test.released)
-			m.Remove("a", test.released)
+			m.Add("a", -test.released)
 			for queue, bytes := range test.bytes {
 				m.Add(queue, bytes)
 			}
@@ -70,9 +70,10 @@
 // Guards against jobs that are accepted without bound while no leader is heard.
 func TestGateBoundsJobsWithoutLeader(t *testing.T) {
 	g := backlog.NewGate(800)
+	size := int64(10)
 	admitted := func(shard int) (count int) {
 		for range 20 {
-			if _, refused := g.Admit(start, shard, "a", 10); !refused {
+			if _, refused := g.Admit(start, shard, "a", size); !refused {
 				count++
 			}
 		}
@@ -87,6 +88,8 @@
 		{"before a leader is heard", func() {}, 0, 10},
 		{"again", func() {}, 0, 0},
 		{"of another shard", func() {}, 1, 10},
+		{"once it is heard, of any size", func() { g.Heard(1); size = 1000 }, 1, 1},
+		{"small ones again", func() { g.Heard(1); size = 10 }, 1, 10},
 		{"once it is heard", func() { g.Heard(0) }, 0, 10},
 		{"once it announces no refusals", func() { g.Announce(0, backlog.Announcement{At: start}) }, 0, 10},
 	}
--- a/backlog/gate.go
+++ b/backlog/gate.go
@@ -62,7 +62,8 @@
 			}
 		}
 	}
-	if g.limit > 0 && g.unheard[shard]+bytes > g.limit/unheardDivisor {
+	// A single job is admitted whatever its size is.
+	if unheard := g.unheard[shard]; g.limit > 0 && unheard > 0 && unheard+bytes > g.limit/unheardDivisor {
 		return minWait, true
 	}
 	g.unheard[shard] += bytes
--- a/backlog/meter.go
+++ b/backlog/meter.go
@@ -40,21 +40,21 @@
 // Total returns the bytes of all jobs.
 func (m *Meter) Total() int64 { return m.total }
 
-// Add counts a job that is kept.
+// Add counts bytes that a job of a queue takes, or releases if they are negative.
 func (m *Meter) Add(queue string, bytes int64) {
 	m.total += bytes
-	m.queues[queue] += bytes
-}
-
-// Remove counts a job that has ended.
-func (m *Meter) Remove(queue string, bytes int64) {
-	m.total -= bytes
-	m.released += bytes
-	if m.queues[queue] -= bytes; m.queues[queue] <= 0 {
+	if bytes < 0 {
+		m.released -= bytes
+	}
+	if m.queues[queue] += bytes; m.queues[queue] <= 0 {
 		delete(m.queues, queue)
 	}
 }
 
+// HasRoom reports whether a job may take further bytes after it was accepted: half of the limit
+// is kept for new jobs.
+func (m *Meter) HasRoom(bytes int64) bool { return m.limit == 0 || m.total+bytes <= m.limit/2 }
+
 // Refusals returns the queues of which no job is to be accepted, sorted by name. The number of
 // queues is that of the configuration.
 func (m *Meter) Refusals(now time.Time, queueCount int) []Refusal {
--- a/crowd/instance_crowd_test.go
+++ b/crowd/instance_crowd_test.go
@@ -21,6 +21,7 @@
 	backlogConnections = 16
 	backlogJobs        = 20_000
 	backlogRounds      = 10
+	occurrenceJobs     = 100
 	specBytes          = 3900 // the limit is 4,000
 	unreadCallers      = 1200
 	waves              = 3
@@ -36,6 +37,25 @@
 	b.requireTruth(t, p.caller)
 }
 
+// TestInstanceOccurrences submits a few small jobs with many due occurrences that nothing runs.
+func TestInstanceOccurrences(t *testing.T) {
+	p := startInstance(t)
+	requireStatus(t, p.caller, "", http.StatusOK)
+	const body = `{"Steps":[{"Count":1,"Cpu":1000,"MemMb":64,"EstimateMs":50}],"RepeatCount":1000000,"StartAtMs":1,"IntervalMs":1}`
+	accepted := 0
+	for number := range occurrenceJobs {
+		code, err := submitBody(p.caller, fmt.Sprintf("c%015x", number), body)
+		if err == nil && code == http.StatusOK {
+			accepted++
+		}
+	}
+	t.Logf("%d of %d jobs accepted", accepted, occurrenceJobs)
+	requireStatus(t, p.caller, "", http.StatusOK) // the number of pending jobs, which the leader tells
+	time.Sleep(settlingTime)
+	p.requireAccepted(t, "o")
+	p.requireWithinBounds(t)
+}
+
 // TestInstanceUnreadResponses checks that clients which read no response and come back at once
 // do not keep others out.
 func TestInstanceUnreadResponses(t *testing.T) {
@@ -285,7 +305,7 @@
 	}
 }
 
-// requireStatus asks for the state of a job and checks the status of the response. Refusals and
+// requireStatus asks for the state of a job, or without an ID for the pending jobs, and checks the status of the response. Refusals and
 // lost connections are repeated.
 func requireStatus(t *testing.T, address netip.AddrPort, id string, want int) {
 	t.Helper()
@@ -307,6 +327,22 @@
 	t.Errorf("the state of job %s is not answered; the last attempt: %s", id, last)
 }
 
+// submitBody submits a job and returns the status of the response.
+func submitBody(address netip.AddrPort, id, body string) (code int, err error) {
+	client := http.Client{Timeout: requestTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	request, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s/p/%s", address, id), strings.NewReader(body))
+	if err != nil {
+		return 0, err
+	}
+	request.Host = "h.example"
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	_ = response.Body.Close()
+	return response.StatusCode, nil
+}
+
 func readStatus(address netip.AddrPort, id string) (code int, err error) {
 	c, err := net.DialTimeout("tcp", address.String(), requestTimeout)
 	if err != nil {
--- a/dispatch/accept.go
+++ b/dispatch/accept.go
@@ -102,7 +102,7 @@
 	s.beyondShare = !r.shares.Within(j.Tenant, j.AcceptedAt)
 	s.uncertain = !r.neverStarted(s)
 	r.jobs[j.ID] = s
-	r.countJob(s)
+	r.recountJob(s)
 	r.adoptOrphans(s)
 	r.openDueOccurrences(s)
 	r.addNote(Note{Kind: NoteJobKnownToLeader, Job: j.ID, Detail: j.Queue + ": " + j.Definition.String(), Age: r.now.Sub(j.AcceptedAt)})
@@ -166,7 +166,7 @@
 func (r *Reducer) addJob(j job.Job) {
 	s := r.newJobState(j)
 	r.jobs[j.ID] = s
-	r.countJob(s)
+	r.recountJob(s)
 }
 
 // newJobState returns the state of a job under the policy of its queue. If the queue was
--- a/dispatch/backlog.go
+++ b/dispatch/backlog.go
@@ -21,24 +21,51 @@
 func MemoryBytes(d *job.Definition) int64 {
 	n := int64(jobStateBytes + len(d.Spec))
 	for i := range d.Steps {
-		s := &d.Steps[i]
-		n += int64(stepStateBytes + taskStateBytes*s.Tasks + len(s.RequiredLabel) + len(s.DataRack))
+		n += int64(len(d.Steps[i].RequiredLabel) + len(d.Steps[i].DataRack))
+	}
+	return n + occurrenceBytes(d)
+}
+
+// occurrenceBytes estimates the memory of an open occurrence.
+func occurrenceBytes(d *job.Definition) int64 {
+	n := int64(0)
+	for i := range d.Steps {
+		n += int64(stepStateBytes + taskStateBytes*d.Steps[i].Tasks)
 	}
 	return n
 }
 
-// countJob adds a job to the backlog until uncountJob is called. Jobs that have ended count too,
-// since clients may ask for their state during the retention time.
-func (r *Reducer) countJob(j *jobState) {
-	j.countedBytes = MemoryBytes(&j.job.Definition)
-	r.backlog.Add(j.job.Queue, j.countedBytes)
+// recountJob counts what a job takes now in the backlog. Jobs that have ended count too, since
+// clients may ask for their state during the retention time.
+func (r *Reducer) recountJob(j *jobState) {
+	d := &j.job.Definition
+	r.setCount(j, MemoryBytes(d)+int64(max(0, len(j.occurrences)-1))*occurrenceBytes(d))
+}
+
+// uncountJob removes a job from the backlog.
+func (r *Reducer) uncountJob(j *jobState) { r.setCount(j, 0) }
+
+func (r *Reducer) setCount(j *jobState, bytes int64) {
+	r.backlog.Add(j.job.Queue, bytes-j.countedBytes)
+	j.countedBytes = bytes
 }
 
-func (r *Reducer) uncountJob(j *jobState) {
-	if j.countedBytes > 0 {
-		r.backlog.Remove(j.job.Queue, j.countedBytes)
-		j.countedBytes = 0
+// maxOpenTasks limits the tasks in the open occurrences of a job, whose state is kept in
+// memory. Due occurrences beyond that wait for others to complete.
+const maxOpenTasks = 10_000
+
+// mayOpenOccurrence reports whether a job may open a due occurrence. Without memory for more,
+// each job has one open.
+func (r *Reducer) mayOpenOccurrence(j *jobState, k int64) bool {
+	if len(j.occurrences) == 0 || j.occurrences[k] != nil {
+		return true
+	}
+	d := &j.job.Definition
+	tasks := 0
+	for i := range d.Steps {
+		tasks += d.Steps[i].Tasks
 	}
+	return (len(j.occurrences)+1)*tasks <= maxOpenTasks && r.backlog.HasRoom(occurrenceBytes(d))
 }
 
 // reportBacklog reports the queues to refuse: at once when there is a first one, and then
--- a/dispatch/backlog_test.go
+++ b/dispatch/backlog_test.go
@@ -63,6 +63,27 @@
 	return int64(m.HeapAlloc)
 }
 
+// Guards against a few jobs whose due occurrences take the memory of a leader, and against
+// occurrences that are forgotten.
+func TestOccurrencesNeedRoom(t *testing.T) {
+	g := NewWithT(t)
+	now := time.UnixMilli(1_700_000_000_000)
+	r := dispatch.New(dispatch.Options{Token: 1, FirstLeader: true, MaxBacklogBytes: 1 << 20})
+	r.Apply(now, dispatch.ConfigurationChanged{Configuration: &job.Configuration{Queues: []job.Queue{{Name: "q", Pool: "pool", MaxAttempts: 1}}}}, dispatch.JobsLoaded{})
+	before := heapBytes()
+	for n := range 50 {
+		j := waitingJob(n, 1, "")
+		j.Definition.Occurrences, j.Definition.IntervalMilliseconds = 1_000_000, 1
+		now = now.Add(time.Second)
+		effects := r.Apply(now, dispatch.JobAccepted{Job: j}, dispatch.Tick{})
+		if effects.Backlog != nil {
+			g.Expect(effects.Backlog.Refusals).To(BeEmpty(), "half of the limit is left to new jobs")
+		}
+	}
+	g.Expect(heapBytes() - before).To(BeNumerically("<", 2<<20))
+	runtime.KeepAlive(r)
+}
+
 // Guards against a leader that accepts jobs without end, and against refusals that outlive them.
 func TestBacklogIsReported(t *testing.T) {
 	g := NewWithT(t)
--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -339,6 +339,7 @@
 		r.openOccurrence(j, 0)
 		return
 	}
+	r.recountJob(j) // occurrences may have been completed
 	for {
 		j.nextOccurrence = j.completedOccurrences.endOfRange(j.nextOccurrence)
 		if j.nextOccurrence >= d.Occurrences {
@@ -346,31 +347,16 @@
 			return
 		}
 		due := time.UnixMilli(d.FirstDueMilliseconds + j.nextOccurrence*d.IntervalMilliseconds)
-		if due.After(r.now) || !j.mayOpenOccurrence(j.nextOccurrence) {
+		if due.After(r.now) || !r.mayOpenOccurrence(j, j.nextOccurrence) {
 			r.timedJobs[j] = struct{}{}
 			return
 		}
 		r.openOccurrence(j, j.nextOccurrence)
+		r.recountJob(j)
 		j.nextOccurrence++
 	}
 }
 
-// maxOpenTasks limits the tasks in the open occurrences of a job, whose state is kept in
-// memory. Due occurrences beyond that wait for others to complete.
-const maxOpenTasks = 10_000
-
-// mayOpenOccurrence reports whether the job may open a due occurrence.
-func (j *jobState) mayOpenOccurrence(k int64) bool {
-	if len(j.occurrences) == 0 || j.occurrences[k] != nil {
-		return true
-	}
-	tasks := 0
-	for i := range j.job.Definition.Steps {
-		tasks += j.job.Definition.Steps[i].Tasks
-	}
-	return (len(j.occurrences)+1)*tasks <= maxOpenTasks
-}
-
 // openStartedOccurrences opens the occurrences of which a predecessor has saved progress.
 func (r *Reducer) openStartedOccurrences(j *jobState) {
 	if j.closed() {
@@ -439,8 +425,7 @@
 	j.state = state
 	r.scheduleRemoval(j)
 	j.job.Definition.Spec = "" // no task of the job starts any more
-	r.uncountJob(j)
-	r.countJob(j)
+	r.recountJob(j)
 	delete(r.timedJobs, j)
 	r.unsavedJobs[j] = struct{}{}
 	for _, o := range j.occurrences {
