home, daemon: the tasks of requests count in their memory

What was seen: 200 requests of 150 bytes with 10,000 tasks each, sent at once, took fuchsiacrossd to 324 MB of 256.

Cause: a workload's limit of waiting tasks is checked when a request is submitted, and its tasks are in the queue only when the acceptance is committed, so that all requests that are submitted in between are accepted. The limit on the memory of requests counted their bodies only.

Change: the limit counts the tasks and the request itself too, from the submission on, and is a sixth of limits/memory_megabytes, at least two of the largest requests. A request that is alone is accepted.

--- a/crowd/daemon_crowd_test.go
+++ b/crowd/daemon_crowd_test.go
@@ -67,6 +67,7 @@
 		{"large chunks", false, callers, sendEach(daemonBodyConnections, rpcChunks(submitPath, "", daemonBodyBytes, largeChunkBytes))},
 		{"very small chunks", false, callers, sendEach(daemonBodyConnections, rpcChunks(submitPath, "", daemonBodyBytes, smallChunkBytes))},
 		{"whole bodies that wait", false, callers, sendEach(daemonBodyConnections, sendWaitingRequest)},
+		{"requests of many tasks", false, callers, sendEach(2*daemonBodyConnections, sendManyTasks)},
 		{"compressed bodies", false, callers, sendEach(2*daemonBodyConnections, sendCompressed)},
 		{"bodies of HTTP/2 streams", false, callers, openStreams},
 		{"half frames of HTTP/2", false, callers, sendEach(frameConnectionsHTTP2, sendHalfFrameHTTP2)},
@@ -149,6 +150,16 @@
 	return err
 }
 
+// sendManyTasks submits a request with as many tasks as the limit allows. No worker runs them.
+func sendManyTasks(w io.Writer, number int) error {
+	text := fmt.Sprintf(`{"requestId":"tasks-%d","team":"agronomy","workload":"drying_model","tasks":10000,"noWait":true}`, number)
+	if err := writeRPCHead(w, submitPath, "", fmt.Sprintf("Content-Length: %d", len(text))); err != nil {
+		return err
+	}
+	_, err := io.WriteString(w, text)
+	return err
+}
+
 // sendCompressed sends a whole body whose decompressed form is almost as large as the limit.
 func sendCompressed(w io.Writer, _ int) error {
 	var compressed bytes.Buffer
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -138,7 +138,7 @@
 		Partitions:           uint32(s.JournalPartitions),
 		StoreWritesPerSecond: float64(s.StoreWritesPerSecond),
 		MaxQueued:            int(s.Limits.MaxQueued),
-		MaxBodyBytes:         waitingBodyBytes(&s.Limits),
+		MaxRequestBytes:      requestBytes(&s.Limits),
 		Timing:               d.membershipTiming(),
 	})
 	secret, err := readSecret(s.PeerSecretFile)
--- a/daemon/intake.go
+++ b/daemon/intake.go
@@ -5,6 +5,7 @@
 
 	"fuchsiacross/boundedhttp"
 	"fuchsiacross/document"
+	"fuchsiacross/home"
 	"fuchsiacross/intake"
 	"fuchsiacross/settings"
 )
@@ -14,10 +15,11 @@
 	// connectionBytes is the memory planned for a connection of a caller or a stream: 32 KiB
 	// in the process and, on average, 16 KiB in its socket.
 	connectionBytes = 48 << 10
-	// Callers get a quarter of the memory for connections. Bodies that are received and bodies
-	// of requests that wait get an eighth each.
+	// Callers get a quarter of the memory for connections, an eighth for bodies that are
+	// received and a sixth for requests.
 	connectionsFraction = 4
 	bodyFraction        = 8
+	requestFraction     = 6
 	// minCallerConnections lets 95 clients with two connections each connect to an instance.
 	minCallerConnections = 192
 	// maxPeerConnections allows for a link and its successor with each instance of the cell
@@ -26,9 +28,11 @@
 	// operatorConnections allows for a second connection of each concurrent call.
 	operatorConnections = 128
 	metricsConnections  = 32
-	// largestBodies is the number of bodies of the largest size that are received at the same
-	// time whatever the memory is. A whole body counts twice until it is decoded.
-	largestBodies = 2
+	// largestRequests is the number of requests of the largest size that are received, or kept,
+	// at the same time whatever the memory is.
+	largestRequests = 2
+	// wholeFactor is what a whole body counts until it is decoded.
+	wholeFactor = 2
 )
 
 // intakeBounds returns the bounds on callers, operators and monitoring.
@@ -38,7 +42,7 @@
 		CallerConnections: int(l.MaxConnections),
 		PeerConnections:   maxPeerConnections,
 		ProbeConnections:  metricsConnections,
-		BodyBytes:         max(memory/bodyFraction, 2*largestBodies*largestRequest(l)),
+		BodyBytes:         max(memory/bodyFraction, wholeFactor*largestRequests*largestRequest(l)),
 		HeaderTimeout:     time.Duration(l.HeaderTimeoutMilliseconds) * time.Millisecond,
 		BodyTimeout:       time.Duration(l.BodyTimeoutMilliseconds) * time.Millisecond,
 	}
@@ -54,9 +58,9 @@
 	return 4 * max(l.MaxBodyBytes, document.MaxSectionBytes) / 3
 }
 
-// waitingBodyBytes returns the limit of the bodies of the requests that wait in memory.
-func waitingBodyBytes(l *settings.Limits) int64 {
-	return max(l.MemoryMegabytes*mebibyte/bodyFraction, largestBodies*l.MaxBodyBytes)
+// requestBytes returns the limit of the memory of the requests that the instance keeps.
+func requestBytes(l *settings.Limits) int64 {
+	return max(l.MemoryMegabytes*mebibyte/requestFraction, largestRequests*(l.MaxBodyBytes+l.MaxTasks*home.TaskBytes))
 }
 
 // listenerOptions are the options of the listeners by the name of their address.
--- a/home/table.go
+++ b/home/table.go
@@ -36,9 +36,9 @@
 	Reroute func(now time.Time, r *model.Request, waiters []Waiter)
 	// MaxQueued is the maximum number of requests that this instance keeps.
 	MaxQueued int
-	// MaxBodyBytes limits the bodies of the requests that are kept and have no outcome; zero
-	// means no limit.
-	MaxBodyBytes int64
+	// MaxRequestBytes limits the memory of the requests that this instance keeps, by
+	// requestBytes; zero means no limit.
+	MaxRequestBytes int64
 }
 
 // Table keeps the requests whose home is this instance. It is not safe for
@@ -46,7 +46,7 @@
 type Table struct {
 	opts              Options
 	requests          map[model.RequestID]*request
-	bodyBytes         int64 // of the bodies in requests
+	requestBytes      int64 // of all requests
 	partitions        []partition
 	reservations      map[event.CallID]*reservation
 	forwardedCalls    map[event.CallID]*request
@@ -226,25 +226,6 @@
 	return r
 }
 
-func (t *Table) keepRequest(r *request) {
-	t.requests[r.spec.ID] = r
-	t.bodyBytes += int64(len(r.spec.Body))
-}
-
-func (t *Table) removeRequest(r *request) {
-	t.dropBody(r)
-	delete(t.requests, r.spec.ID)
-}
-
-// dropBody drops the body of a request that no attempt needs any more.
-func (t *Table) dropBody(r *request) {
-	if len(r.spec.Body) == 0 {
-		return
-	}
-	t.bodyBytes -= int64(len(r.spec.Body))
-	r.spec = withoutBody(r.spec)
-}
-
 // joinExisting adds a waiter to a request that is already known. It rejects a
 // submission that reuses the identifier for different content.
 func (t *Table) joinExisting(r *request, w Waiter, spec *model.Request) {
@@ -302,8 +283,8 @@
 		w.Reject(t.opts.Emit, event.CodeExhausted, "", "the instance holds as many requests as it may")
 		return false
 	}
-	if limit := t.opts.MaxBodyBytes; limit > 0 && len(spec.Body) > 0 && t.bodyBytes+int64(len(spec.Body)) > limit {
-		w.Reject(t.opts.Emit, event.CodeExhausted, "body", "the instance holds as many bytes of waiting requests as it may")
+	if !t.hasMemoryFor(spec) {
+		w.Reject(t.opts.Emit, event.CodeExhausted, "", "the instance holds as many bytes of requests as it may")
 		return false
 	}
 	if !spec.Deadline.After(now) {
--- a/scheduler/cell_test.go
+++ b/scheduler/cell_test.go
@@ -222,7 +222,7 @@
 		Partitions:           partitionCount,
 		StoreWritesPerSecond: 200,
 		MaxQueued:            10_000,
-		MaxBodyBytes:         maxBodyBytes,
+		MaxRequestBytes:      maxRequestBytes,
 	})
 	incarnation := n.incarnation
 	n.runEvery(incarnation, tickInterval, func() { n.receive(incarnation, event.Tick{}) })
--- a/scheduler/reducer.go
+++ b/scheduler/reducer.go
@@ -24,7 +24,7 @@
 	Partitions           uint32  // number of journal partitions; the same at all instances
 	StoreWritesPerSecond float64 // journal write budget of the whole cell
 	MaxQueued            int     // limit of unsettled requests held by this instance
-	MaxBodyBytes         int64   // limit of the bodies of unsettled requests; zero means no limit
+	MaxRequestBytes      int64   // limit of the memory of the requests held by this instance; zero means no limit
 	Timing               membership.Timing
 }
 
@@ -110,22 +110,22 @@
 		DeliverFenceReply: r.deliverFenceReply,
 	})
 	r.homes = home.New(home.Options{
-		Self:         o.Self.ID,
-		Incarnation:  o.Incarnation,
-		Partitions:   o.Partitions,
-		Index:        r.index,
-		Leases:       r.leases,
-		Members:      r.members,
-		Queue:        r.queue,
-		Quota:        r.quota,
-		RetryBudget:  r.retryBudget,
-		WriteBudget:  r.writeBudget,
-		NextCall:     r.nextCall,
-		Random:       r.random.Uint64,
-		Emit:         r.emit,
-		Reroute:      func(now time.Time, q *model.Request, ws []home.Waiter) { r.entries.Reroute(now, q, ws) },
-		MaxQueued:    o.MaxQueued,
-		MaxBodyBytes: o.MaxBodyBytes,
+		Self:            o.Self.ID,
+		Incarnation:     o.Incarnation,
+		Partitions:      o.Partitions,
+		Index:           r.index,
+		Leases:          r.leases,
+		Members:         r.members,
+		Queue:           r.queue,
+		Quota:           r.quota,
+		RetryBudget:     r.retryBudget,
+		WriteBudget:     r.writeBudget,
+		NextCall:        r.nextCall,
+		Random:          r.random.Uint64,
+		Emit:            r.emit,
+		Reroute:         func(now time.Time, q *model.Request, ws []home.Waiter) { r.entries.Reroute(now, q, ws) },
+		MaxQueued:       o.MaxQueued,
+		MaxRequestBytes: o.MaxRequestBytes,
 	})
 	r.entries = entry.New(entry.Options{
 		Self:        o.Self.ID,
