--- a/settings/instancepage.go
+++ b/settings/instancepage.go
@@ -10,7 +10,7 @@
 | field | type | range | default | description |
 | --- | --- | --- | --- | --- |
 | ` + "`processor_share`" + ` | number, processors | above 0 | required | share of one processor; determines with the next three how much of the load of a shard the instance can lead ([CAPACITY.md](CAPACITY.md)) |
-| ` + "`memory_megabytes`" + ` | integer, MB | above 0 | required | memory of the instance |
+| ` + "`memory_megabytes`" + ` | integer, MB | above 0 | required | memory of the instance; a sixth is for the jobs that a leader knows ([design/intake.md](design/intake.md)) |
 | ` + "`link_megabits`" + ` | number, Mbit/s | at least 0 | 0, unknown | bandwidth of the machine's link |
 | ` + "`max_descriptors`" + ` | integer, descriptors | at least 0 | 0, unknown | file descriptors of the process |
 | ` + "`features`" + ` | string |  | "" | optional rules that the deployment asks for, separated by commas without spaces; the instance acts on ` + "`tenants`" + `: requests need keys ([design/keys.md](design/keys.md)) |
