intake: writes of evicted connections end sooner

Cause: an evicted connection whose client does not read waited for 0.2 s, so that 160 connections a second could be admitted beside the bound, while the clients that were refused came back at once and took nearly all of these places.

Change: such a write fails 20 ms after it began. A stream of HTTP/2 whose body is refused does not have its connection closed after it.

TestStreamsCountLikeConnections waits for evicted streams to end: an eighth more than the bound may be open meanwhile.

--- a/backlog/doc.go
+++ b/backlog/doc.go
@@ -5,7 +5,8 @@
 // an instance that hands jobs in, as the leaders of the shards announce it.
 //
 // Up to three quarters of the limit any queue may use. The rest is left to queues below an
-// equal share of the limit, so that a queue that nothing runs does not close the others.
+// equal share of the limit, so that a queue that nothing runs does not close the others. At the
+// limit all queues with jobs are refused.
 //
 // # Usage
 //
--- a/daemon/intake.go
+++ b/daemon/intake.go
@@ -63,7 +63,7 @@
 	return max(l.MemoryMegabytes*mebibyte/requestFraction, largestRequests*(l.MaxBodyBytes+l.MaxTasks*home.TaskBytes))
 }
 
-// listenerOptions are the options of the listeners by the name of their address.
+// listenerOptions returns the options of the listeners of each kind of client.
 func listenerOptions(b intake.Bounds) (callers, operators, peers, monitoring intake.Options) {
 	callers = intake.Options{MaxConnections: b.CallerConnections, ReceiveBytes: boundedhttp.CallerSocketBytes, SendBytes: boundedhttp.CallerSocketBytes}
 	operators, monitoring, peers = callers, callers, callers
--- a/intake/budget.go
+++ b/intake/budget.go
@@ -310,8 +310,11 @@
 )
 
 // PrepareRefusal has the connection of a request whose body was not kept closed after the
-// response, since the body may not have been read to its end.
+// response, since the body may not have been read to its end. A stream of HTTP/2 ends by itself.
 func PrepareRefusal(w http.ResponseWriter, r *http.Request, err error) {
+	if r.ProtoMajor >= http2Major {
+		return
+	}
 	var refusal *Refusal
 	w.Header().Set("Connection", "close")
 	if errors.As(err, &refusal) && refusal.CanDiscardRest() && r.Header.Get("Expect") == "" {
--- a/intake/sending.go
+++ b/intake/sending.go
@@ -12,7 +12,7 @@
 	writePieceBytes = 64 << 10
 	// evictedWriteTimeout replaces writeTimeout once the connection or stream is evicted, since
 	// it counts until it has ended.
-	evictedWriteTimeout = 200 * time.Millisecond
+	evictedWriteTimeout = 20 * time.Millisecond
 )
 
 // sending limits the time of the writes of one connection or stream.
