intake: streams that were reset are released

What callers saw: clients that open HTTP/2 streams and reset them make a daemon grow by about 0.8 KB a stream.

Cause: net/http stops the timers of a stream's deadlines when the stream closes. A handler that sets a deadline after that, for the body or for the refusal, starts a new timer, and nothing stops it: the timer keeps the stream for the timeout of a body, a minute. The live heap grew with the number of streams for as long as the crowd went on, and its profile shows time.newTimer below SetReadDeadline and SetWriteDeadline.

Change: serveStream clears both deadlines before the handler returns. net/http handles the calls of one handler in order, so that the timer that was started late is stopped. HTTP/1 has no such timers: its deadlines are those of the connection.

Test: TestResetStreamsAreReleased failed before ("streams that were reset stay in memory").

--- a/crowd/daemon_crowd_test.go
+++ b/crowd/daemon_crowd_test.go
@@ -28,7 +28,7 @@
 	largeFrameBytes       = 1_000_000
 	unreadConnections     = 100
 	resetConnections      = 16
-	resetsPerConnection   = 5000
+	resetsPerConnection   = 25000
 
 	submitPath = "/fuchsiacross.caller.v1.CallerService/Submit"
 	statusPath = "/fuchsiacross.caller.v1.CallerService/Status"
--- a/intake/stream.go
+++ b/intake/stream.go
@@ -43,6 +43,7 @@
 	s.request = request{interrupt: s.evict, isInterrupted: s.isInterrupted}
 	c.beginStream()
 	defer c.endStream()
+	defer s.clearDeadlines()
 	if !c.listener.open(&s.request) {
 		c.refuseStream(w)
 		return
@@ -130,6 +131,13 @@
 	s.sending.finish()
 }
 
+// clearDeadlines stops the timers of the deadlines. One that was set after the client had reset the
+// stream keeps the stream in memory until the deadline passes.
+func (s *stream) clearDeadlines() {
+	_ = s.control.SetReadDeadline(time.Time{})
+	_ = s.control.SetWriteDeadline(time.Time{})
+}
+
 // flush sends what has been written of the response.
 func (s *stream) flush() error {
 	s.move(PhaseServing, PhaseSending)
--- a/intake/stream_test.go
+++ b/intake/stream_test.go
@@ -6,8 +6,10 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -15,15 +17,8 @@
 // serveHTTP2 serves without TLS like serve, with large responses to GET requests.
 func serveHTTP2(t *testing.T, budget *Budget, maxConnections int) (*Listener, string) {
 	t.Helper()
-	l, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"), Options{MaxConnections: maxConnections})
-	if err != nil {
-		t.Fatal(err)
-	}
-	protocols := &http.Protocols{}
-	protocols.SetHTTP1(true)
-	protocols.SetUnencryptedHTTP2(true)
 	large := strings.Repeat("r", 8<<20)
-	server := &http.Server{Protocols: protocols, ConnContext: ConnContext, ConnState: RecordState, Handler: Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	return listenHTTP2(t, maxConnections, Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, release, err := budget.ReadBody(w, r, 100_000, time.Now().Add(time.Minute))
 		defer release()
 		var refusal *Refusal
@@ -36,7 +31,20 @@
 		default:
 			_, _ = w.Write(body)
 		}
-	}))}
+	})))
+}
+
+// listenHTTP2 serves a handler without TLS.
+func listenHTTP2(t *testing.T, maxConnections int, handler http.Handler) (*Listener, string) {
+	t.Helper()
+	l, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"), Options{MaxConnections: maxConnections})
+	if err != nil {
+		t.Fatal(err)
+	}
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	server := &http.Server{Protocols: protocols, ConnContext: ConnContext, ConnState: RecordState, Handler: handler}
 	go func() { _ = server.Serve(l) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return l, "http://" + l.Addr().String()
@@ -132,3 +140,43 @@
 		}
 	}
 }
+
+// Guards against clients that open streams and reset them: the timer of a deadline keeps its
+// stream in memory.
+func TestResetStreamsAreReleased(t *testing.T) {
+	const count = 20
+	budget := NewBudget(1<<20, time.Minute)
+	handler := Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, release, err := budget.ReadBody(w, r, 100, time.Now().Add(time.Minute))
+		if err == nil {
+			t.Error("the body of a stream that was reset is whole")
+		}
+		release()
+	}))
+	var released atomic.Int64
+	began := make(chan struct{})
+	_, url := listenHTTP2(t, 16, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// Only the stream and its handler hold the context.
+		runtime.SetFinalizer(r.Context(), func(context.Context) { released.Add(1) })
+		began <- struct{}{}
+		<-r.Context().Done()
+		handler.ServeHTTP(w, r)
+	}))
+	client := newHTTP2Client(t)
+	for range count {
+		ctx, cancel := context.WithCancel(context.Background())
+		reader, writer := io.Pipe()
+		ended := make(chan response, 1)
+		go func() { ended <- call(ctx, client, http.MethodPost, url, reader) }()
+		<-began
+		cancel()
+		if r := <-ended; r.err == nil {
+			t.Fatalf("a request that was cancelled has status %d", r.status)
+		}
+		_ = writer.Close()
+	}
+	waitUntil(t, "streams that were reset stay in memory", func() bool {
+		runtime.GC()
+		return released.Load() == count
+	})
+}
