rpcserver: refusals say when a call may be repeated

What callers saw: of the refusals of fuchsiacrossd only those of bodies had a Retry-After. A call that met the limit on the memory of requests, on their number or on open calls got resource_exhausted without one, and a call in a shutdown got unavailable without one, so that callers came back when they liked.

Cause: the header was set where bodies are refused and nowhere else.

Change: an interceptor adds Retry-After: 1 to each unavailable and resource_exhausted error, in the trailer for gRPC; the handler that refuses calls in a shutdown, which runs before it, sets the header. Errors of other codes do not change.

--- a/caller/server.go
+++ b/caller/server.go
@@ -104,6 +104,7 @@
 		s.calls.Inc(1)
 		s.refusedCalls.Inc(1)
 		w.Header().Set("Connection", "close")
+		rpcserver.SetRetryAfter(w.Header())
 		_ = errorWriter.Write(w, r, connect.NewError(connect.CodeUnavailable, errors.New("the instance is shutting down")))
 	})
 }
--- a/caller/server_test.go
+++ b/caller/server_test.go
@@ -301,6 +301,20 @@
 	})
 })
 
+var _ = Describe("Drain", func() {
+	// A caller must learn when to come back, and a balancer must be able to send it elsewhere.
+	It("refuses the calls that follow", func(ctx SpecContext) {
+		h := newHarness(func(event.Event) event.Effect { return nil })
+		h.server.Drain()
+		_, err := h.client.Status(ctx, &callerv1.StatusRequest{RequestId: "c"})
+		var failure *connect.Error
+		Expect(errors.As(err, &failure)).To(BeTrue())
+		Expect(failure.Code()).To(Equal(connect.CodeUnavailable))
+		Expect(failure.Meta().Get("Retry-After")).To(Equal("1"))
+		Expect(h.posted()).To(BeEmpty())
+	})
+})
+
 var _ = Describe("Status and Cancel", func() {
 	// The events must carry the identifier of the request and the wait flag.
 	It("ask the reducer", func(ctx SpecContext) {
--- a/rpcserver/body.go
+++ b/rpcserver/body.go
@@ -85,7 +85,7 @@
 	case refusal.Cause == intake.CauseTooLarge:
 		return connect.NewError(connect.CodeInvalidArgument, errors.Errorf("body: above the limit of %d bytes", limit))
 	}
-	w.Header().Set("Retry-After", strconv.Itoa(int(refusal.RetryAfter.Seconds())))
+	w.Header().Set(retryAfterHeader, strconv.Itoa(int(refusal.RetryAfter.Seconds())))
 	return connect.NewError(connect.CodeResourceExhausted, refusal)
 }
 
--- a/rpcserver/strict.go
+++ b/rpcserver/strict.go
@@ -23,7 +23,7 @@
 		connect.WithReadMaxBytes(maxReadBytes(maxField)),
 		connect.WithCodec(strictJSON{"json"}),
 		connect.WithCodec(strictJSON{"json; charset=utf-8"}),
-		connect.WithInterceptors(connect.UnaryInterceptorFunc(releaseBody)),
+		connect.WithInterceptors(connect.UnaryInterceptorFunc(addRetryAfter), connect.UnaryInterceptorFunc(releaseBody)),
 	}
 }
 
