link: frames have at most 256 messages

What callers saw: a client at the peer address of fuchsiacross-instance that sends no hello, only frames of 60,000 empty messages of one byte each, makes the process decode some 400 bytes for each byte.

Cause: the length of a frame was bounded (64 KiB before the hello, 8 MiB after it), and its decoded form was not.

Change: a frame with more messages than a sender puts into one (256) is refused before it is decoded, and a list in a message has at most 65,536 elements, as between the instances of fuchsiacrossd.

The fuzz test calls the function that the link calls, instead of a copy.

--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -4,7 +4,6 @@
 
 import (
 	"bytes"
-	"encoding/binary"
 	"fmt"
 	"io"
 	"net"
@@ -20,7 +19,9 @@
 	decodedConnections = 100
 	headerConnections  = 2000
 	frameConnections   = 60
-	shortBy            = 144 // bytes that are missing from each body
+	framesPerPeer      = 50
+	emptyMessages      = 60_000 // of one byte each; a frame before the hello may have 64 KiB
+	shortBy            = 144    // bytes that are missing from each body
 	pieceBytes         = 4 << 10
 	largeChunkBytes    = 64 << 10
 	smallChunkBytes    = 16
@@ -57,6 +58,7 @@
 		{"half headers at the readiness address", readiness, headerConnections, sendHalfHeader},
 		{"half headers at the metrics address", counters, headerConnections, sendHalfHeader},
 		{"frames of peers that stop short", peers, frameConnections, sendHalfFrame},
+		{"frames of peers with many empty messages", peers, frameConnections, sendEmptyMessages},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -168,20 +170,9 @@
 // sendHalfFrame opens a link as a leader does and sends a masked binary WebSocket frame
 // without its last bytes.
 func sendHalfFrame(w io.Writer, _ int) error {
-	handshake := "GET /link HTTP/1.1\r\nHost: peer\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n" +
-		"Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\n\r\n"
-	if _, err := io.WriteString(w, handshake); err != nil {
+	if err := openWebSocket(w, "/link"); err != nil {
 		return err
 	}
-	if _, err := io.ReadAtLeast(w.(io.Reader), make([]byte, 1024), len("HTTP/1.1 101")); err != nil {
-		return err
-	}
-	frame := []byte{0x82, 0xff} // final binary frame, masked, with a length of 64 bits
-	frame = binary.BigEndian.AppendUint64(frame, frameBytes)
-	frame = append(frame, 0, 0, 0, 0)
-	if _, err := w.Write(frame); err != nil {
-		return err
-	}
-	_, err := w.Write(make([]byte, frameBytes-shortBy))
+	_, err := w.Write(appendWebSocketFrame(nil, frameBytes, make([]byte, frameBytes-shortBy)))
 	return err
 }
--- a/link/fuzz_test.go
+++ b/link/fuzz_test.go
@@ -29,8 +29,8 @@
 		f.Add(seed)
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
-		var frame []wireMessage
-		if cbor.Unmarshal(data, &frame) != nil {
+		frame, err := decodeFrame(data)
+		if err != nil {
 			return
 		}
 		for i := range frame {
--- a/link/link.go
+++ b/link/link.go
@@ -279,8 +279,8 @@
 		if err != nil {
 			return errors.Wrap(err, "read")
 		}
-		var frame []wireMessage
-		if err := cbor.Unmarshal(data, &frame); err != nil {
+		frame, err := decodeFrame(data)
+		if err != nil {
 			return errors.Wrap(err, "decode frame")
 		}
 		for i := range frame {
