peer: one large frame of strangers at a time

Cause: an instance that is not listed yet may open a link, because the list lags behind, and each link may have a frame of max_frame_bytes open, 8 MiB by default.

Change: a peer that is neither listed nor has proved to have the key of peer_secret_file is a stranger. A frame of a stranger is received up to 64 KiB, the size that every instance has to accept; the rest stays in the socket until it is the only such frame, and 5 s at most, which is how long senders wait. New instances keep their links and lose no frame in calm.

--- a/crowd/daemon_crowd_test.go
+++ b/crowd/daemon_crowd_test.go
@@ -81,6 +81,7 @@
 		{"bodies of operators without credentials", false, operators, sendEach(bodyConnections, rpcBody(editPath, "", streamBodyBytes, streamBodyBytes))},
 		{"bodies of operators that stop short", false, operators, sendEach(daemonBodyConnections, rpcBody(editPath, authorised, 2_000_000, 2_000_000))},
 		{"half headers of peers", false, peers, sendEach(daemonConnections, sendHalfHeader)},
+		{"frames of peers that stop short", false, peers, sendEach(daemonBodyConnections, sendHalfPeerFrame)},
 		{"half headers at the metrics address", false, counters, sendEach(daemonConnections, sendHalfHeader)},
 		{"metrics that are not read", false, counters, sendEach(bodyConnections, sendMetricsCalls)},
 	}
--- a/crowd/websocket_test.go
+++ b/crowd/websocket_test.go
@@ -5,7 +5,10 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"fmt"
 	"io"
+
+	"github.com/fxamacker/cbor/v2"
 )
 
 // openWebSocket opens a link as a peer does.
@@ -42,3 +45,28 @@
 	}
 	return nil
 }
+
+// greet opens a link as an instance does that is not listed, without the key of the cell.
+func greet(w io.Writer, number int) error {
+	if err := openWebSocket(w, "/peer"); err != nil {
+		return err
+	}
+	hello, err := cbor.Marshal(map[int]any{
+		1: 1, 2: fmt.Sprintf("stranger-%d", number), 3: 1, 4: "z", 5: "127.0.0.1:1", 6: 1.0, 7: 60_000, 8: make([]byte, 16), 9: "entry-1", 10: 64 << 10,
+	})
+	if err != nil {
+		return err
+	}
+	b := appendWebSocketFrame(nil, len(hello), hello)
+	_, err = w.Write(appendWebSocketFrame(b, 0, nil)) // the proof without a key
+	return err
+}
+
+// sendHalfPeerFrame sends a frame without its last bytes.
+func sendHalfPeerFrame(w io.Writer, number int) error {
+	if err := greet(w, number); err != nil {
+		return err
+	}
+	_, err := w.Write(appendWebSocketFrame(nil, frameBytes, make([]byte, frameBytes-shortBy)))
+	return err
+}
--- a/peer/links.go
+++ b/peer/links.go
@@ -40,6 +40,8 @@
 	goroutines  sync.WaitGroup
 	handshakes  chan struct{} // has one element per incoming handshake
 	listedPeers atomic.Int64  // number of listed peers, not counting this instance
+	// strangersLargeFrame has an element while a large frame of a stranger is received.
+	strangersLargeFrame chan struct{}
 
 	mu     sync.Mutex
 	closed bool
@@ -55,6 +57,8 @@
 		cancel:     cancel,
 		handshakes: make(chan struct{}, maxIncomingHandshakes),
 		links:      map[model.InstanceID]*link{},
+
+		strangersLargeFrame: make(chan struct{}, 1),
 	}
 	l.counters = newCounters(l.options.Metrics)
 	return l
--- a/peer/session.go
+++ b/peer/session.go
@@ -132,7 +132,8 @@
 	s.readDeadline.Store(&deadline)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	messageType, data, err := s.conn.Read(ctx)
+	messageType, data, release, err := s.readMessage(ctx)
+	defer release()
 	switch {
 	case errors.Is(err, websocket.ErrMessageTooBig):
 		return nil, &malformedFrameError{errors.Errorf("more than %d bytes", s.link.owner.options.MaxFrameBytes)}
