peer: a stalled frame of a stranger ends before those that wait

Cause: both had 5 s, counted from their first 64 KiB.

Change: the frame that is being received has 1 s from then on.

--- a/peer/stranger.go
+++ b/peer/stranger.go
@@ -9,6 +9,9 @@
 	"github.com/coder/websocket"
 )
 
+// strangersFrameTimeout is how long a large frame of a stranger may keep those of others waiting.
+const strangersFrameTimeout = time.Second
+
 // isStranger reports whether a peer has neither been listed nor proved that it has the key of the
 // cell. New instances are strangers until the list has them.
 func (l *link) isStranger() bool { return !l.isListed() && len(l.owner.options.Secret()) == 0 }
@@ -16,7 +19,7 @@
 // readMessage reads a message. The release function must be called once the message is decoded.
 //
 // Of the messages of strangers only one at a time may have more than minFrameBytes: the rest of
-// the others stays in their sockets. Such a message has as long as its sender waits for the write.
+// the others stays in their sockets, for as long as their senders wait for the write.
 func (s *session) readMessage(ctx context.Context) (messageType websocket.MessageType, message []byte, release func(), err error) {
 	release = func() {}
 	messageType, reader, err := s.conn.Reader(ctx)
@@ -35,6 +38,7 @@
 		select {
 		case largeFrame <- struct{}{}:
 			release = func() { <-largeFrame }
+			timer.Reset(strangersFrameTimeout)
 		case <-ctx.Done():
 			return messageType, nil, release, ctx.Err()
 		}
