peer: frames of strangers are decoded one at a time

What callers saw: clients at the peer address of fuchsiacrossd that say hello and send one frame of 60 KB with a list of empty reports made the process decode some 600 bytes for each byte. 400 connections took it to 611 MB of 256 on with the limit on messages of links, and to 704 MB with the limit on large frames.

Cause: a list may have 65,536 elements, and each link decodes by itself.

Change: the frames of strangers are decoded one after the other. One above 64 KiB must have a single message, as all senders write it, and lists of at most 256 elements.

TestDecodeLargeFrameOfStranger.

--- a/crowd/daemon_crowd_test.go
+++ b/crowd/daemon_crowd_test.go
@@ -82,6 +82,7 @@
 		{"bodies of operators that stop short", false, operators, sendEach(daemonBodyConnections, rpcBody(editPath, authorised, 2_000_000, 2_000_000))},
 		{"half headers of peers", false, peers, sendEach(daemonConnections, sendHalfHeader)},
 		{"frames of peers that stop short", false, peers, sendEach(daemonBodyConnections, sendHalfPeerFrame)},
+		{"frames of peers with many empty reports", false, peers, sendEach(frameConnectionsHTTP2, sendEmptyReports)},
 		{"half headers at the metrics address", false, counters, sendEach(daemonConnections, sendHalfHeader)},
 		{"metrics that are not read", false, counters, sendEach(bodyConnections, sendMetricsCalls)},
 	}
--- a/crowd/websocket_test.go
+++ b/crowd/websocket_test.go
@@ -70,3 +70,17 @@
 	_, err := w.Write(appendWebSocketFrame(nil, frameBytes, make([]byte, frameBytes-shortBy)))
 	return err
 }
+
+// sendEmptyReports sends a frame whose decoded form is far larger than it is.
+func sendEmptyReports(w io.Writer, number int) error {
+	if err := greet(w, number); err != nil {
+		return err
+	}
+	const runningReply = 17
+	// The first message of a link, with a list of the states of tasks.
+	frame := []byte{0x82, 1, 0x81, 0x82, runningReply, 0xa2, 1, 1, 2, 0x99}
+	frame = binary.BigEndian.AppendUint16(frame, emptyMessages)
+	frame = append(frame, bytes.Repeat([]byte{0xa0}, emptyMessages)...)
+	_, err := w.Write(appendWebSocketFrame(nil, len(frame), frame))
+	return err
+}
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -17,16 +17,23 @@
 		IndefLength: cbor.IndefLengthForbidden,
 		TagsMd:      cbor.TagsForbidden,
 	}.EncMode())
-	decMode = must(cbor.DecOptions{
+	decMode = newDecMode(1 << 16)
+	// strangersDecMode is for large frames of strangers, whose decoded form is bounded by the
+	// lengths of their lists.
+	strangersDecMode = newDecMode(256)
+)
+
+func newDecMode(maxArrayElements int) cbor.DecMode {
+	return must(cbor.DecOptions{
 		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
 		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
 		IndefLength:       cbor.IndefLengthForbidden,
 		TagsMd:            cbor.TagsForbidden,
 		MaxNestedLevels:   16,
-		MaxArrayElements:  1 << 16,
+		MaxArrayElements:  maxArrayElements,
 		MaxMapPairs:       64,
 	}.DecMode())
-)
+}
 
 func must[T any](mode T, err error) T {
 	if err != nil {
@@ -73,17 +80,18 @@
 type decoder struct {
 	nextNumber uint64
 	heartbeat  heartbeatDecoder
+	mode       cbor.DecMode
 }
 
 func newDecoder(from model.Instance, incarnation model.Incarnation) *decoder {
-	return &decoder{nextNumber: 1, heartbeat: newHeartbeatDecoder(from, incarnation)}
+	return &decoder{nextNumber: 1, heartbeat: newHeartbeatDecoder(from, incarnation), mode: decMode}
 }
 
 // decodeFrame returns the messages of a frame, or an error that names the
 // invalid message and field. The decoder must not be used after an error.
 func (d *decoder) decodeFrame(data []byte) ([]event.Message, error) {
 	var w wireFrame
-	if err := decMode.Unmarshal(data, &w); err != nil {
+	if err := d.mode.Unmarshal(data, &w); err != nil {
 		return nil, errors.Wrap(err, "frame")
 	}
 	if w.FirstNumber != d.nextNumber {
@@ -141,12 +149,27 @@
 	kindDocumentCopy:       {"document copy", statelessDecoder(documentCopyFromWire)},
 }
 
+// decodeLargeFrameOfStranger is decodeFrame for a frame above minFrameBytes, of which senders
+// make one for each message.
+func (d *decoder) decodeLargeFrameOfStranger(data []byte) ([]event.Message, error) {
+	d.mode = strangersDecMode
+	defer func() { d.mode = decMode }()
+	var w wireFrame
+	if err := d.mode.Unmarshal(data, &w); err != nil {
+		return nil, errors.Wrap(err, "frame")
+	}
+	if len(w.Messages) > 1 {
+		return nil, errors.Errorf("frame: %d bytes with %d messages, want one", len(data), len(w.Messages))
+	}
+	return d.decodeFrame(data)
+}
+
 // statelessDecoder returns a decoder for messages that do not depend on earlier
 // ones.
 func statelessDecoder[W any](convert func(*W) (event.Message, error)) func(*decoder, cbor.RawMessage) (event.Message, error) {
-	return func(_ *decoder, body cbor.RawMessage) (event.Message, error) {
+	return func(d *decoder, body cbor.RawMessage) (event.Message, error) {
 		var w W
-		if err := decMode.Unmarshal(body, &w); err != nil {
+		if err := d.mode.Unmarshal(body, &w); err != nil {
 			return nil, err
 		}
 		return convert(&w)
@@ -155,7 +178,7 @@
 
 func decodeHeartbeat(d *decoder, body cbor.RawMessage) (event.Message, error) {
 	var w wireHeartbeat
-	if err := decMode.Unmarshal(body, &w); err != nil {
+	if err := d.mode.Unmarshal(body, &w); err != nil {
 		return nil, err
 	}
 	return d.heartbeat.decode(&w)
--- a/peer/links.go
+++ b/peer/links.go
@@ -42,6 +42,7 @@
 	listedPeers atomic.Int64  // number of listed peers, not counting this instance
 	// strangersLargeFrame has an element while a large frame of a stranger is received.
 	strangersLargeFrame chan struct{}
+	strangersDecoding   sync.Mutex // held while a frame of a stranger is decoded
 
 	mu     sync.Mutex
 	closed bool
--- a/peer/session.go
+++ b/peer/session.go
@@ -142,7 +142,7 @@
 	case messageType != websocket.MessageBinary:
 		return nil, &malformedFrameError{errors.New("text instead of binary")}
 	}
-	messages, err := dec.decodeFrame(data)
+	messages, err := s.decodeFrame(dec, data)
 	if err != nil {
 		return nil, &malformedFrameError{err}
 	}
--- a/peer/stranger.go
+++ b/peer/stranger.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/coder/websocket"
+
+	"fuchsiacross/event"
 )
 
 // strangersFrameTimeout is how long a large frame of a stranger may keep those of others waiting.
@@ -46,3 +48,18 @@
 	_, err = data.ReadFrom(reader)
 	return messageType, data.Bytes(), release, err
 }
+
+// decodeFrame decodes the frames of strangers one after the other, since the decoded form of a
+// frame may be far larger than the frame.
+func (s *session) decodeFrame(dec *decoder, data []byte) ([]event.Message, error) {
+	if !s.link.isStranger() {
+		return dec.decodeFrame(data)
+	}
+	decoding := &s.link.owner.strangersDecoding
+	decoding.Lock()
+	defer decoding.Unlock()
+	if len(data) > minFrameBytes {
+		return dec.decodeLargeFrameOfStranger(data)
+	}
+	return dec.decodeFrame(data)
+}
--- a/peer/stranger_test.go
+++ b/peer/stranger_test.go
@@ -98,3 +98,43 @@
 		t.Errorf("events %q, want %q", order, want)
 	}
 }
+
+// Guards against large frames of strangers that are far larger once they are decoded, and against
+// the refusal of those that instances send.
+func TestDecodeLargeFrameOfStranger(t *testing.T) {
+	body := make([]byte, 2*minFrameBytes)
+	sections := func(n int) event.Message {
+		return event.DocumentCopy{Revision: 1, Sections: slices.Repeat([]document.Section{{Name: "s", Body: body[:1024]}}, n)}
+	}
+	tests := []struct {
+		name     string
+		messages []event.Message
+		want     string // in the error; empty for none
+	}{
+		{"one body", []event.Message{event.DocumentCopy{Revision: 1, Sections: []document.Section{{Name: "s", Body: body}}}}, ""},
+		{"the longest list", []event.Message{sections(256)}, ""},
+		{"a longer list", []event.Message{sections(257)}, "exceeded max number of elements 256"},
+		{"two messages", []event.Message{sections(100), sections(100)}, "2 messages, want one"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			e := newEncoder()
+			var batch []wireMessage
+			for _, m := range test.messages {
+				w, err := e.encodeMessage(time.Now(), m)
+				if err != nil {
+					t.Fatal(err)
+				}
+				batch = append(batch, w)
+			}
+			frame, err := e.encodeFrame(batch)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, err = newDecoder(sender, 1).decodeLargeFrameOfStranger(frame)
+			if (err == nil) != (test.want == "") || err != nil && !strings.Contains(err.Error(), test.want) {
+				t.Errorf("decoding ends with %v, want %q", err, test.want)
+			}
+		})
+	}
+}
