crowd: the peers' crowds play in series and during a stop

Tests only: the crowds of all addresses at once, which play in series, at a full leader, at a successor and during a stop, include the frames of peers. The bounds are the same.

--- a/crowd/daemon_crowd_test.go
+++ b/crowd/daemon_crowd_test.go
@@ -315,6 +315,8 @@
 		{p.caller, sendEach(daemonConnections/8, sendHalfHeader)},
 		{p.operator, sendEach(daemonConnections/8, sendHalfHeader)},
 		{p.peer, sendEach(daemonConnections/8, sendHalfHeader)},
+		{p.peer, sendEach(daemonBodyConnections/4, sendHalfPeerFrame)},
+		{p.peer, sendEach(frameConnectionsHTTP2/4, sendEmptyReports)},
 		{p.counters, sendEach(daemonConnections/8, sendHalfHeader)},
 	}
 	var mu sync.Mutex
--- a/crowd/instance_crowd_test.go
+++ b/crowd/instance_crowd_test.go
@@ -162,6 +162,7 @@
 		{p.readiness, headerConnections / 4, sendHalfHeader},
 		{p.counters, headerConnections / 4, sendHalfHeader},
 		{p.peer, frameConnections, sendHalfFrame},
+		{p.peer, frameConnections, sendEmptyMessages},
 	}
 	var mu sync.Mutex
 	var open []net.Conn
