--- a/link/link.go
+++ b/link/link.go
@@ -7,6 +7,9 @@
 // the leader use longer intervals and timeouts, so that heartbeats cost little in a
 // large fleet.
 //
+// Anyone may open a connection to an instance. Until its hello, a connection may send
+// small frames only, and the decoded form of each frame is bounded.
+//
 // # Usage
 //
 //	c, err := link.Dial(ctx, address, onMessage, onClosed)
--- a/peer/doc.go
+++ b/peer/doc.go
@@ -21,6 +21,10 @@
 // unless the link broke. A frame that cannot be decoded closes the link, and
 // none of its messages is delivered.
 //
+// A peer that is neither listed nor has proved that it has the key may be a new
+// instance or a stranger. Its link works like others, but the memory that its
+// frames take is bounded: see readMessage and decodeFrame.
+//
 // Delivery is not guaranteed: a link that breaks loses the messages in flight,
 // and a full queue drops new messages. Only the newest heartbeat is queued.
 //
