review: a timed job is given up because of its stored advice

Cause: dispatch/save.go closes a job as failed whose progress exceeds a transaction; the progress contains the ids of all workers that the advice service was asked about, for each open occurrence. The few runners that may run a timed job are lost for good (srv_crash, 10 of 350).

--- a/review/rig3/cases.go
+++ b/review/rig3/cases.go
@@ -186,14 +186,154 @@
 	broken := c.watchIdle(j, time.Now(), func(*runner) bool { return true })
 	if broken {
 		time.Sleep(30 * time.Second)
-		c.w.note("30 s later, %d tasks of %s run", c.runningTasks(id), id)
+		c.w.mu.Lock()
+		c.w.noteLocked("30 s later, %d tasks of %s run; %d runs of all jobs have started, %d have failed", c.w.running(id), id, c.w.startedRuns, c.w.failedRuns)
+		c.w.mu.Unlock()
 	}
 	c.w.note("state of %s: %s", id, c.state(j))
 	return broken, nil
 }
 
-func (c *cell) runningTasks(id string) int {
+// playShards: in a fleet of two shards, the runners with a label are in two racks. One of the racks is
+// lost. Jobs that need the label are then handed in.
+func playShards(record string, trouble bool) (bool, error) {
+	queues := []queue{{name: "resumen-patio", prefix: "/lohu930/", priority: 2, attempts: 3, stretch: 4, latencyMS: 3000}}
+	c, err := startCell(record, queues, 1, 1, func(_, _ string) bool { return true })
+	if err != nil {
+		return false, err
+	}
+	defer c.stop()
+	const racks, rackSize, labelled = 68, 8, 2
+	var lost []*runner
+	for n := range racks * rackSize {
+		kind := "a"
+		if n/rackSize < labelled {
+			kind = "b"
+		}
+		r := startRunner(c.w, c.store, fmt.Sprintf("w%03d", n), pool, kind, fmt.Sprintf("r1-%02d", n/rackSize), 32000, 131072)
+		if n < rackSize {
+			lost = append(lost, r)
+		}
+	}
+	if err := c.startInstances(4, "/lohu930/"); err != nil {
+		return false, err
+	}
+	time.Sleep(3 * time.Second)
+	if trouble {
+		for _, r := range lost {
+			r.crash(true)
+		}
+		time.Sleep(4500 * time.Millisecond)
+		for _, r := range lost {
+			r.unregister()
+		}
+		time.Sleep(2 * time.Second)
+	}
+	var jobs []*jobSpec
+	for n := range 8 {
+		j := &jobSpec{ID: fmt.Sprintf("5c0e7a21d94b36%02x", n*29), path: "/lohu930/", TaskSpec: "summary", attempts: 3, Steps: []step{{Count: 4, CPU: 2000, MemMB: 2800, EstimateMS: 2700, work: 2700 * time.Millisecond, Requires: "b"}}}
+		if !c.submit(j) {
+			return false, errors.New("a job was not accepted")
+		}
+		jobs = append(jobs, j)
+	}
+	end := time.Now()
+	time.Sleep(5 * time.Second)
+	broken := false
+	for _, j := range jobs {
+		if c.watchIdle(j, end, func(r *runner) bool { return r.kind == "b" }) {
+			broken = true
+			break
+		}
+	}
+	for _, j := range jobs {
+		c.w.note("state of %s: %s", j.ID, c.state(j))
+	}
+	return broken, nil
+}
+
+// playTimed: an occurrence of a timed job is due every 0.5 s. The few runners that may run it are lost
+// for good, and others come later.
+func playTimed(record string, trouble bool) (bool, error) {
+	const (
+		id      = "5c0e7a21d94b36f8"
+		allowed = 10
+	)
+	queues := []queue{{name: "reconciliacion-temporada", prefix: "/lohu930/", priority: 1, attempts: 2, stretch: 2.2, latencyMS: 1000, adviceMS: 200, adviceW: 1}}
+	mayRun := func(worker string) bool { return strings.HasSuffix(worker, "b") }
+	c, err := startCell(record, queues, 200, 1, func(_, worker string) bool { return mayRun(worker) })
+	if err != nil {
+		return false, err
+	}
+	defer c.stop()
+	c.w.quiet = true
+	add := func(n int, last string) *runner {
+		return startRunner(c.w, c.store, fmt.Sprintf("%08x-4c1e-4f6b-9d2a-7be05a3c%03x%s", 0x3f9ad120+n*7919, n, last), pool, "a", fmt.Sprintf("r1-%02d", n/20), 32000, 65536)
+	}
+	var lost []*runner
+	for n := range 350 {
+		if n < allowed {
+			lost = append(lost, add(n, "b"))
+			continue
+		}
+		add(n, "a")
+	}
+	if err := c.startInstances(5, "/lohu930/"); err != nil {
+		return false, err
+	}
+	time.Sleep(3 * time.Second)
+	j := &jobSpec{
+		ID: id, path: "/lohu930/", TaskSpec: "season", attempts: 2, advice: true, Repeat: 150, StartAtMS: time.Now().UnixMilli(), IntervalMS: 500,
+		Steps: []step{{Count: 2, CPU: 2000, MemMB: 1000, EstimateMS: 400, work: 400 * time.Millisecond}},
+	}
+	if !c.submit(j) {
+		return false, errors.New("the job was not accepted")
+	}
+	time.Sleep(3 * time.Second)
+	if trouble {
+		for _, r := range lost {
+			r.crash(true)
+		}
+		time.Sleep(4500 * time.Millisecond)
+		for _, r := range lost {
+			r.unregister()
+		}
+	}
+	broken := false
+	watch := func(length time.Duration) {
+		for until := time.Now().Add(length); time.Now().Before(until) && !broken; time.Sleep(500 * time.Millisecond) {
+			if c.state(j) != "failed" {
+				continue
+			}
+			broken = true
+			c.w.mu.Lock()
+			c.w.breach("LOST", "%s is shown as failed; %d of its runs have ended failed, %d tasks have ended done", id, c.w.failedRuns, c.w.doneTasks())
+			c.w.mu.Unlock()
+		}
+	}
+	watch(40 * time.Second)
+	if trouble {
+		c.w.note("%d other runners join that may run the job", allowed)
+		for n := range allowed {
+			add(400+n, "b")
+		}
+	}
+	time.Sleep(15 * time.Second)
+	watch(time.Second)
 	c.w.mu.Lock()
-	defer c.w.mu.Unlock()
-	return c.w.running(id)
+	c.w.noteLocked("%d tasks have ended done, %.0f s after the first time of the job", c.w.doneTasks(), time.Since(time.UnixMilli(j.StartAtMS)).Seconds())
+	c.w.mu.Unlock()
+	c.w.note("state of %s: %s", id, c.state(j))
+	return broken, nil
+}
+
+// doneTasks returns how many tasks have ended done. The caller holds the mutex.
+func (w *world) doneTasks() int {
+	n := 0
+	for _, t := range w.tasks {
+		if t.doneEnded {
+			n++
+		}
+	}
+	return n
 }
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -19,7 +19,9 @@
 	cases := map[string]func(record string, trouble bool) (bool, error){
 		"advice":   playAdvice,
 		"rack":     playRack,
+		"timed":    playTimed,
 		"crashing": playCrashing,
+		"shards":   playShards,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: rig3 CASE RECORD")
--- a/review/rig3/platform.go
+++ b/review/rig3/platform.go
@@ -23,7 +23,9 @@
 	pool     = "bitacora-secado"
 	host     = "nony24.example"
 	ticketMS = 2500
-	deadline = 3 * time.Second
+	// maxNamedWorkers is the number of workers up to which the record names those of a call for advice.
+	maxNamedWorkers = 20
+	deadline        = 3 * time.Second
 )
 
 // queue is a route of the configuration.
@@ -74,7 +76,11 @@
 		}
 		a.w.mu.Unlock()
 	}
-	a.w.note("advice on %s: %d asked, %d good: %s", question.Step, len(question.Workers), len(good), strings.Join(question.Workers, " "))
+	names := ""
+	if len(question.Workers) <= maxNamedWorkers {
+		names = ": " + strings.Join(question.Workers, " ")
+	}
+	a.w.note("advice on %s: %d asked, %d good%s", question.Step, len(question.Workers), len(good), names)
 	_ = json.NewEncoder(w).Encode(map[string]any{"Good": good})
 }
 
--- a/review/rig3/runner.go
+++ b/review/rig3/runner.go
@@ -57,12 +57,13 @@
 	gone      bool // for good
 	cut       bool // neither the instances nor the store reach it
 	state     string
-	lateShare float64 // of the orders that get no answer and are carried out 2 to 12 s later
+	changed   chan struct{} // closed and replaced when a run ends or the runner crashes
+	lateShare float64       // of the orders that get no answer and are carried out 2 to 12 s later
 }
 
 // startRunner starts a runner and registers it.
 func startRunner(w *world, s *standin.Store, id, pool, kind, rack string, cpu, mem int64) *runner {
-	r := &runner{w: w, store: s, id: id, pool: pool, kind: kind, rack: rack, cpu: cpu, mem: mem, state: "ready"}
+	r := &runner{w: w, store: s, id: id, pool: pool, kind: kind, rack: rack, cpu: cpu, mem: mem, state: "ready", changed: make(chan struct{})}
 	r.reset()
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /run-start", r.handle(r.start))
@@ -75,7 +76,7 @@
 	w.mu.Unlock()
 	r.register()
 	go func() {
-		for range time.Tick(20 * time.Millisecond) {
+		for range time.Tick(leaseCheck) {
 			w.mu.Lock()
 			r.lapse()
 			w.mu.Unlock()
@@ -84,6 +85,12 @@
 	return r
 }
 
+// wake ends the waiting readings. The caller holds the mutex.
+func (r *runner) wake() {
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
 func (r *runner) reset() {
 	r.born, r.token, r.leaseEnd, r.lastEnd, r.ends = time.Now(), 0, time.Time{}, 0, nil
 	r.runs, r.highest = map[string]*run{}, map[string]int64{}
@@ -111,6 +118,7 @@
 	lost := r.runs
 	r.runs = map[string]*run{}
 	r.down, r.gone = true, forGood
+	r.wake()
 	for _, a := range lost {
 		a.over = true
 		delete(r.w.task(a.task).active, r)
@@ -178,7 +186,6 @@
 	r.lastEnd++
 	t := r.w.task(a.task)
 	delete(t.active, r)
-	t.lastActive = now
 	key := fmt.Sprintf("%s/%d/%d", r.id, r.born.UnixNano(), a.id)
 	checkpoint := ""
 	if how != "done" {
@@ -191,10 +198,12 @@
 	case "done":
 		t.doneEnded = true
 	case "failed":
+		r.w.failedRuns++
 		t.failed[key] = now
 	}
+	r.wake()
 	r.ends = append(r.ends, ended{number: r.lastEnd, task: a.task, how: how, run: a.id, checkpoint: checkpoint, key: key})
-	if !r.w.quiet {
+	if !r.w.quiet || !a.step.LongRunning {
 		r.w.noteLocked("%s run %d ends %s on %s", a.task, a.id, how, r.id)
 	}
 	if a.step.Gang && how != "done" {
@@ -306,7 +315,7 @@
 	}
 	r.runs[o.Task] = a
 	r.w.task(o.Task).active[r] = a
-	if !r.w.quiet {
+	if !r.w.quiet || !s.LongRunning {
 		r.w.noteLocked("%s run %d starts on %s", o.Task, o.RunID, r.id)
 	}
 	switch {
@@ -452,9 +461,16 @@
 	r.extend(o.DeadlineMS)
 	r.acknowledge(o.LastSeen)
 	born := r.born
-	for until := time.Now().Add(time.Duration(min(o.WaitMS, 2000)) * time.Millisecond); len(r.ends) == 0 && time.Now().Before(until) && !r.down && r.born.Equal(born); {
+	if len(r.ends) == 0 && o.WaitMS > 0 {
+		changed := r.changed
 		r.w.mu.Unlock()
-		time.Sleep(5 * time.Millisecond)
+		timer := time.NewTimer(time.Duration(min(o.WaitMS, 2000)) * time.Millisecond)
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-request.Context().Done():
+		}
+		timer.Stop()
 		r.w.mu.Lock()
 	}
 	if r.down || r.cut || !r.born.Equal(born) {
--- a/review/rig3/world.go
+++ b/review/rig3/world.go
@@ -19,6 +19,7 @@
 	restoreTime      = 100 * time.Millisecond
 	lastingStartup   = 300 * time.Millisecond
 	remoteFactor     = 2
+	leaseCheck       = 50 * time.Millisecond
 )
 
 // step is a step of a job as a client submits it, with what its tasks do.
@@ -62,22 +63,13 @@
 
 // taskLog is what runners have seen of one task.
 type taskLog struct {
-	active        map[*runner]*run
-	starts        int
-	failed        map[string]time.Time // runs that ended failed, by runner, incarnation and number
-	noted         int                  // ends failed that were taken note of
-	doneNoted     bool
-	doneEnded     bool
-	checkpoints   map[string]bool
-	lastActive    time.Time
-	startsAfterFn []startMark
-}
-
-// startMark is a start with the ends that had happened before it.
-type startMark struct {
-	at          time.Time
-	failedPrior map[string]bool
-	donePrior   map[string]bool
+	active      map[*runner]*run
+	starts      int
+	failed      map[string]time.Time // runs that ended failed, by runner, incarnation and number
+	noted       int                  // ends failed that were taken note of
+	doneNoted   bool
+	doneEnded   bool
+	checkpoints map[string]bool
 }
 
 // run is one execution of a task on a runner.
@@ -136,14 +128,16 @@
 
 // world is everything that the stand-ins know. One mutex guards all of it.
 type world struct {
-	mu         sync.Mutex
-	jobs       map[string]*jobSpec
-	tasks      map[string]*taskLog
-	runners    []*runner
-	violations []string
-	record     *os.File
-	began      time.Time
-	quiet      bool
+	mu          sync.Mutex
+	jobs        map[string]*jobSpec
+	tasks       map[string]*taskLog
+	runners     []*runner
+	violations  []string
+	record      *os.File
+	began       time.Time
+	quiet       bool // runs of tasks that last are not recorded one by one
+	failedRuns  int
+	startedRuns int
 }
 
 func newWorld(recordPath string) (*world, error) {
@@ -253,12 +247,8 @@
 	if !s.LongRunning && t.noted >= j.attempts {
 		w.breach("BUDGET", "%s is started after %d failed runs", o.Task, t.noted)
 	}
-	mark := startMark{at: time.Now(), failedPrior: map[string]bool{}, donePrior: map[string]bool{}}
-	for key := range t.failed {
-		mark.failedPrior[key] = true
-	}
-	t.startsAfterFn = append(t.startsAfterFn, mark)
 	t.starts++
+	w.startedRuns++
 }
 
 func (w *world) knownCheckpoint(o *order, s *step) bool {
@@ -274,7 +264,7 @@
 	return false
 }
 
-// idleFor returns since when no task of a job has run.
+// running returns how many tasks of a job run. The caller holds the mutex.
 func (w *world) running(id string) int {
 	n := 0
 	for _, r := range w.runners {
