--- a/review/rig3/cases.go
+++ b/review/rig3/cases.go
@@ -1,10 +1,16 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
+	"net/http"
+	"net/netip"
 	"strings"
 	"time"
+
+	"fuchsiacross/jobstore"
+	"fuchsiacross/platform/store"
 )
 
 const (
@@ -110,39 +116,6 @@
 	return broken, nil
 }
 
-// playRack: a step whose tasks belong in one rack waits while no rack has enough room.
-func playRack(record string, trouble bool) (bool, error) {
-	const id = "5c0e7a21d94b36f8"
-	queues := []queue{{name: "condolence-batch", prefix: "/lohu930/", priority: 2, attempts: 3, stretch: 4, latencyMS: 3000}}
-	c, err := startCell(record, queues, 1, 1, func(_, _ string) bool { return true })
-	if err != nil {
-		return false, err
-	}
-	defer c.stop()
-	var runners []*runner
-	for n := range 48 {
-		runners = append(runners, startRunner(c.w, c.store, fmt.Sprintf("w%02d", n), pool, "a", fmt.Sprintf("r1-%d", n/8), 16000, 65536))
-	}
-	if err := c.startInstances(3, "/lohu930/"); err != nil {
-		return false, err
-	}
-	time.Sleep(2 * time.Second)
-	if trouble {
-		for n := 0; n < 48; n += 8 {
-			runners[n].crash(true)
-		}
-		time.Sleep(4500 * time.Millisecond)
-		for n := 0; n < 48; n += 8 {
-			runners[n].unregister()
-		}
-	}
-	j := &jobSpec{ID: id, path: "/lohu930/", TaskSpec: "batch", attempts: 3, Steps: []step{{Count: 32, CPU: 4000, MemMB: 8000, EstimateMS: 20000, work: 20 * time.Second, SameRack: true}}}
-	if !c.submit(j) {
-		return false, errors.New("the job was not accepted")
-	}
-	return c.watchIdle(j, time.Now(), func(*runner) bool { return true }), nil
-}
-
 // playCrashing: services are handed in, one in twenty of which can never be done. A job of a queue with
 // two attempts then waits. Without the disruption, all services work.
 func playCrashing(record string, trouble bool) (bool, error) {
@@ -194,64 +167,6 @@
 	return broken, nil
 }
 
-// playShards: in a fleet of two shards, the runners with a label are in two racks. One of the racks is
-// lost. Jobs that need the label are then handed in.
-func playShards(record string, trouble bool) (bool, error) {
-	queues := []queue{{name: "resumen-patio", prefix: "/lohu930/", priority: 2, attempts: 3, stretch: 4, latencyMS: 3000}}
-	c, err := startCell(record, queues, 1, 1, func(_, _ string) bool { return true })
-	if err != nil {
-		return false, err
-	}
-	defer c.stop()
-	const racks, rackSize, labelled = 68, 8, 2
-	var lost []*runner
-	for n := range racks * rackSize {
-		kind := "a"
-		if n/rackSize < labelled {
-			kind = "b"
-		}
-		r := startRunner(c.w, c.store, fmt.Sprintf("w%03d", n), pool, kind, fmt.Sprintf("r1-%02d", n/rackSize), 32000, 131072)
-		if n < rackSize {
-			lost = append(lost, r)
-		}
-	}
-	if err := c.startInstances(4, "/lohu930/"); err != nil {
-		return false, err
-	}
-	time.Sleep(3 * time.Second)
-	if trouble {
-		for _, r := range lost {
-			r.crash(true)
-		}
-		time.Sleep(4500 * time.Millisecond)
-		for _, r := range lost {
-			r.unregister()
-		}
-		time.Sleep(2 * time.Second)
-	}
-	var jobs []*jobSpec
-	for n := range 8 {
-		j := &jobSpec{ID: fmt.Sprintf("5c0e7a21d94b36%02x", n*29), path: "/lohu930/", TaskSpec: "summary", attempts: 3, Steps: []step{{Count: 4, CPU: 2000, MemMB: 2800, EstimateMS: 2700, work: 2700 * time.Millisecond, Requires: "b"}}}
-		if !c.submit(j) {
-			return false, errors.New("a job was not accepted")
-		}
-		jobs = append(jobs, j)
-	}
-	end := time.Now()
-	time.Sleep(5 * time.Second)
-	broken := false
-	for _, j := range jobs {
-		if c.watchIdle(j, end, func(r *runner) bool { return r.kind == "b" }) {
-			broken = true
-			break
-		}
-	}
-	for _, j := range jobs {
-		c.w.note("state of %s: %s", j.ID, c.state(j))
-	}
-	return broken, nil
-}
-
 // playTimed: an occurrence of a timed job is due every 0.5 s. The few runners that may run it are lost
 // for good, and others come later.
 func playTimed(record string, trouble bool) (bool, error) {
@@ -337,3 +252,162 @@
 	}
 	return n
 }
+
+// leader returns the instance that the store names as the leader.
+func (c *cell) leader() *instance {
+	address := netip.MustParseAddrPort(c.store.Address().String())
+	row, _, err := jobstore.New(store.New(address), 0).ReadLeader(context.Background())
+	if err != nil {
+		return nil
+	}
+	for _, i := range c.instances {
+		if i.name == row.Name {
+			return i
+		}
+	}
+	return nil
+}
+
+// playFormer: half of the orders are late, then the leader is killed, then runners crash and start again
+// under their ids, two at a time.
+func playFormer(record string, trouble bool) (bool, error) {
+	const (
+		fleet    = 14
+		jobs     = 12
+		lateTime = 5500 * time.Millisecond
+		downTime = 400 * time.Millisecond
+		rounds   = 1
+		restart  = 1500 * time.Millisecond
+	)
+	queues := []queue{{name: "resumen-patio", prefix: "/lohu930/", priority: 2, attempts: 3, stretch: 4, latencyMS: 3000}}
+	c, err := startCell(record, queues, 1, 1, func(_, _ string) bool { return true })
+	if err != nil {
+		return false, err
+	}
+	defer c.stop()
+	var runners []*runner
+	for n := range fleet {
+		runners = append(runners, startRunner(c.w, c.store, fmt.Sprintf("w%02d", n), pool, "a", fmt.Sprintf("r1-%d", n/2), 32000, 65536))
+	}
+	if err := c.startInstances(4, "/lohu930/"); err != nil {
+		return false, err
+	}
+	time.Sleep(2 * time.Second)
+	setLate := func(share float64) {
+		c.w.mu.Lock()
+		defer c.w.mu.Unlock()
+		for _, r := range runners {
+			r.lateShare = share
+		}
+		c.w.noteLocked("applied_late: %.1f of the orders", share)
+	}
+	began := time.Now()
+	if trouble {
+		setLate(0.5)
+	}
+	for n := range jobs {
+		j := &jobSpec{ID: fmt.Sprintf("5c0e7a21d94b36%02x", n), path: "/lohu930/", TaskSpec: "summary", attempts: 3, Steps: []step{{Count: 60, CPU: 100, MemMB: 100, EstimateMS: 6000, work: 6 * time.Second}}}
+		if !c.submit(j) {
+			return false, errors.New("a job was not accepted")
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	time.Sleep(time.Until(began.Add(lateTime)))
+	if trouble {
+		setLate(0)
+		former := c.leader()
+		if former == nil {
+			return false, errors.New("the store names no leader")
+		}
+		c.w.note("node_kill: SIGKILL for the leader, %s", former.name)
+		former.kill()
+		time.Sleep(restart)
+		if err := former.start(); err != nil {
+			return false, err
+		}
+	}
+	for n := 0; trouble && n < rounds*fleet; n += 2 {
+		pair := []*runner{runners[n%fleet], runners[n%fleet+1]}
+		for _, r := range pair {
+			r.crash(false)
+		}
+		time.Sleep(downTime)
+		for _, r := range pair {
+			r.restart()
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	time.Sleep(8 * time.Second)
+	c.w.mu.Lock()
+	defer c.w.mu.Unlock()
+	c.w.noteLocked("%d runs have started, TWICE was broken %d times", c.w.startedRuns, len(c.w.violations))
+	return len(c.w.violations) > 0, nil
+}
+
+// playQuota: the store turns one of four machines away. Jobs are handed in there whose gang is somewhat
+// larger than its tenant may run.
+func playQuota(record string, trouble bool) (bool, error) {
+	const (
+		key      = "k-3f9ad1207be05a3c"
+		limit    = 8000
+		lateJobs = 6
+		downTime = 9 * time.Second
+	)
+	c, err := startCell(record, nil, 1, 1, func(_, _ string) bool { return true })
+	if err != nil {
+		return false, err
+	}
+	defer c.stop()
+	c.store.Put("op", "config", map[string]any{
+		"Version": 2, "Services": []map[string]any{{"Name": pool, "AdmissionCheck": false}}, "Limits": map[string]int{"MaxBodyBytes": 262144},
+		"Routes":  []map[string]any{{"Name": "label-transcribe", "Host": host, "PathPrefix": "/lohu930/", "Service": pool, "MaxAttempts": 3, "Stretch": 4, "TargetLatencyMs": 3000, "Priority": 2}},
+		"Tenants": []map[string]any{{"Name": "t1", "ApiKeys": []string{key}, "Weight": 10, "MaxCount": map[string]int{"Cpu": limit, "MemMb": 0, "Gpu": 0}}},
+	})
+	c.key = key
+	for n := range 14 {
+		startRunner(c.w, c.store, fmt.Sprintf("w%02d", n), pool, "a", fmt.Sprintf("r1-%d", n/2), 32000, 65536)
+	}
+	if err := c.startInstances(4, "/lohu930/"); err != nil {
+		return false, err
+	}
+	time.Sleep(2 * time.Second)
+	leader := c.leader()
+	var away *instance
+	for _, i := range c.instances {
+		if i != leader {
+			away = i
+		}
+	}
+	if trouble {
+		c.w.note("platform_down (nodes busy): the store answers %s with 503", away.name)
+		away.turnedAway.Store(true)
+	}
+	began := time.Now()
+	var accepted []*jobSpec
+	for n := range lateJobs {
+		time.Sleep(time.Second)
+		j := &jobSpec{ID: fmt.Sprintf("5c0e7a21d94b36%02x", n), path: "/lohu930/", TaskSpec: "batch", attempts: 3, Steps: []step{{Count: 15, CPU: 551, MemMB: 100, EstimateMS: 500, work: 500 * time.Millisecond, Gang: true}}}
+		c.w.mu.Lock()
+		j.sent = true
+		c.w.jobs[j.ID] = j
+		c.w.mu.Unlock()
+		body := mustJSON(j)
+		status, _ := c.call(away, http.MethodPost, j.path+j.ID, body)
+		c.w.note("POST %s at %s: %d %s", j.ID, away.name, status, body)
+		if status/100 == 2 {
+			accepted = append(accepted, j)
+		}
+	}
+	trafficEnd := time.Now()
+	time.Sleep(time.Until(began.Add(downTime)))
+	away.turnedAway.Store(false)
+	c.w.note("the store serves all machines; %d of %d jobs were accepted", len(accepted), lateJobs)
+	if len(accepted) == 0 {
+		return false, nil
+	}
+	broken := c.watchIdle(accepted[0], trafficEnd, func(*runner) bool { return true })
+	for _, j := range accepted {
+		c.w.note("state of %s: %s", j.ID, c.state(j))
+	}
+	return broken, nil
+}
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -18,10 +18,10 @@
 func main() {
 	cases := map[string]func(record string, trouble bool) (bool, error){
 		"advice":   playAdvice,
-		"rack":     playRack,
 		"timed":    playTimed,
 		"crashing": playCrashing,
-		"shards":   playShards,
+		"quota":    playQuota,
+		"former":   playFormer,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: rig3 CASE RECORD")
--- a/review/rig3/platform.go
+++ b/review/rig3/platform.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -116,7 +117,9 @@
 	name, front, directory string
 	command                *exec.Cmd
 	done                   chan struct{}
-	store, advice          string
+	storeView              *httptest.Server
+	turnedAway             atomic.Bool // the store answers this instance with 503
+	advice                 string
 	env                    []string
 }
 
@@ -130,8 +133,15 @@
 }
 
 // newInstance writes the settings of an instance, with the fields of deploy/settings.json.tmpl.
-func newInstance(name, directory, store, advice string) (*instance, error) {
-	i := &instance{name: name, directory: directory, store: store, advice: advice}
+func newInstance(name, directory string, store http.Handler, advice string) (*instance, error) {
+	i := &instance{name: name, directory: directory, advice: advice}
+	i.storeView = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if i.turnedAway.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		store.ServeHTTP(w, r)
+	}))
 	return i, i.configure()
 }
 
@@ -140,7 +150,7 @@
 	i.front = freeAddress()
 	text, err := json.Marshal(map[string]any{
 		"instance": i.name, "data_centre": "z", "caller_address": i.front, "readiness_address": freeAddress(), "peer_address": freeAddress(),
-		"metrics_address": freeAddress(), "store_address": i.store, "advice_address": i.advice, "processor_share": 0.4, "memory_megabytes": 284,
+		"metrics_address": freeAddress(), "store_address": i.storeView.Listener.Addr().String(), "advice_address": i.advice, "processor_share": 0.4, "memory_megabytes": 284,
 		"grace_seconds": 6, "max_hold_milliseconds": maxHold.Milliseconds(), "stop_timeout_milliseconds": stopTimeout.Milliseconds(), "retention_seconds": 120,
 	})
 	if err != nil {
@@ -192,12 +202,15 @@
 var httpClient = &http.Client{Timeout: deadline + 500*time.Millisecond, Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, MaxIdleConnsPerHost: 64}}
 
 // call sends a request of a client. The status is zero without a complete answer.
-func call(front, method, path string, body []byte) (int, map[string]any) {
-	request, err := http.NewRequest(method, "http://"+front+path, bytes.NewReader(body))
+func (c *cell) call(i *instance, method, path string, body []byte) (int, map[string]any) {
+	request, err := http.NewRequest(method, "http://"+i.front+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil
 	}
 	request.Host = host
+	if c.key != "" {
+		request.Header.Set("Authorization", "Bearer "+c.key)
+	}
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set("X-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
 	response, err := httpClient.Do(request)
@@ -226,7 +239,7 @@
 	c.w.mu.Unlock()
 	for attempt := range 12 {
 		i := c.instances[attempt%len(c.instances)]
-		status, _ := call(i.front, http.MethodPost, j.path+j.ID, body)
+		status, _ := c.call(i, http.MethodPost, j.path+j.ID, body)
 		c.w.note("POST %s%s at %s: %d  %s", j.path, j.ID, i.name, status, body)
 		if status/100 == 2 {
 			return true
@@ -239,7 +252,7 @@
 // state asks for the state of a job.
 func (c *cell) state(j *jobSpec) string {
 	for _, i := range c.instances {
-		if status, answer := call(i.front, http.MethodGet, j.path+j.ID, nil); status == http.StatusOK {
+		if status, answer := c.call(i, http.MethodGet, j.path+j.ID, nil); status == http.StatusOK {
 			state, _ := answer["State"].(string)
 			return state
 		} else if status == http.StatusGone {
@@ -256,6 +269,7 @@
 	advice    *adviceServer
 	instances []*instance
 	directory string
+	key       string // of the tenant; empty without tenants
 }
 
 // startCell starts the store and the advice service; runners are added before the instances.
@@ -277,7 +291,7 @@
 // startInstances starts the processes and waits until each serves requests.
 func (c *cell) startInstances(n int, probePath string) error {
 	for k := range n {
-		i, err := newInstance(fmt.Sprintf("edge-%d", k+1), c.directory, c.store.Address().String(), c.advice.server.Listener.Addr().String())
+		i, err := newInstance(fmt.Sprintf("edge-%d", k+1), c.directory, c.store, c.advice.server.Listener.Addr().String())
 		if err != nil {
 			return err
 		}
@@ -300,7 +314,7 @@
 				}
 			default:
 			}
-			if status, _ := call(i.front, http.MethodGet, probePath, nil); status == http.StatusOK {
+			if status, _ := c.call(i, http.MethodGet, probePath, nil); status == http.StatusOK {
 				ready++
 			}
 		}
