dispatch: progress that exceeds a save is divided, and holds no advice that does not fit

Cause: the progress of a job had to fit into one save of 600,000 bytes, otherwise the leader closed the job as failed. It held the ids of all workers that were asked about for each open occurrence, 13 kB each with 350 workers. Failed runs of tasks that are not done grow without bound too.

Change: advice, which the next leader can request again, takes at most a quarter of a save. The rest may take any size: it is divided among several saves, under numbers that are not in use, and the earlier parts are removed afterwards. Parts are combined when they are loaded, so that a leader may be lost at any point between. Ends are acknowledged after the last of these saves. Event 868 tells of it. Progress that the store refuses is saved in small parts before its job is given up.

--- a/dispatch/accept.go
+++ b/dispatch/accept.go
@@ -51,6 +51,9 @@
 	for id, j := range r.jobs {
 		if j.closed() {
 			r.scheduleRemoval(j)
+			if len(j.parts.numbers) > 1 {
+				r.unsavedJobs[j] = struct{}{} // to remove the others
+			}
 		}
 		notification, ok := r.notifiedBeforeLoad[id]
 		j.notified = ok && j.isOnlyRow(notification)
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -198,7 +198,7 @@
 
 // Save stores the progress of jobs and the list of enrolled workers, which are those that may
 // have runs. A worker gets no runs before its enrolment is stored. RemovedProgress lists the
-// jobs whose progress is removed, RemovedParts the parts that progress no longer has.
+// jobs whose progress is removed, RemovedParts the parts that newer ones have replaced.
 type Save struct {
 	Number          int64
 	Progress        []Progress
@@ -252,6 +252,7 @@
 	NoteStepWaiting
 	NotePredecessorRunsSettled
 	NoteProgressRejected
+	NoteProgressDivided
 	NoteRunAdopted
 	NoteStepOverdue
 	NoteTenantAtQuota
@@ -271,7 +272,8 @@
 
 // Progress is the durable part of a job's state. The rest is recovered from the runs that the
 // workers list. Progress that is too large for a row of the store has several parts, which are
-// saved together. Only the first has the state.
+// combined when they are loaded, in any order and with outdated ones among them. Only part 0 has
+// the state.
 type Progress struct {
 	ID                   job.ID
 	Part                 int       // zero for the first part
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -22,8 +22,9 @@
 	nextOccurrence       int64
 	occurrences          map[int64]*occurrence // without the completed ones of a scheduled job
 	completedOccurrences occurrenceSet         // occurrences whose steps are all complete
-	storedParts          int                   // parts of its progress that the store may hold
-	rejectedVersion      int64                 // confirmed version when the store refused its progress; zero before
+	parts                storedParts           // of its progress
+	rejectedVersion      int64                 // confirmed version when the store last refused its progress; zero before
+	smallParts           bool                  // its progress is divided into small parts, since the store has refused it
 	objective            time.Duration         // the time from acceptance or due time within which the job is in time
 	remainingTimes       []time.Duration       // expected time from the start of each step to the end of the job
 	forecast             *runtimes.Forecast    // of the job's queue
--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -44,10 +44,11 @@
 
 // restore sets the state of a job from a part of its saved progress.
 func (j *jobState) restore(p Progress) {
-	j.storedParts = max(j.storedParts, p.Part+1)
+	j.parts.addLoaded(p.Part)
 	if p.Part == 0 {
-		j.state, j.savedState, j.started = p.State, p.State, p.Started
+		j.state, j.savedState = p.State, p.State
 	}
+	j.started = j.started || p.Started
 	if j.closed() {
 		j.job.Definition = job.Definition{Occurrences: j.job.Definition.Occurrences, Steps: j.job.Definition.Steps}
 		return
@@ -55,6 +56,10 @@
 	for _, r := range p.CompletedOccurrences {
 		j.completedOccurrences.add(OccurrenceRange{max(r.First, 0), min(r.Last, j.job.Definition.Occurrences-1)})
 	}
+	if len(p.CompletedOccurrences) > 0 {
+		// An outdated part may have told that they were open.
+		maps.DeleteFunc(j.occurrences, func(k int64, _ *occurrence) bool { return j.completedOccurrences.contains(k) })
+	}
 	for _, sp := range p.Steps {
 		if sp.Step < 0 || sp.Step >= len(j.job.Definition.Steps) {
 			continue
@@ -72,7 +77,12 @@
 		}
 		for _, f := range sp.Failures {
 			if f.Index >= 0 && f.Index < len(s.tasks) {
-				s.tasks[f.Index].failures = append(s.tasks[f.Index].failures, f.Runs...)
+				t := &s.tasks[f.Index]
+				for _, run := range f.Runs {
+					if !slices.Contains(t.failures, run) {
+						t.failures = append(t.failures, run)
+					}
+				}
 			}
 		}
 		if o.stepsLeft == 0 {
@@ -115,45 +125,94 @@
 	return n
 }
 
-// split divides the progress of a job into parts whose encoding has at most limit bytes each,
-// and returns them with the sum of their sizes. Advice that does not fit into one part is left
-// out: the next leader requests it again.
-func (p Progress) split(limit int) (parts []Progress, total int) {
-	part, size := Progress{ID: p.ID, State: p.State, Started: p.Started}, partBytes
-	reserve := func(bytes int) {
-		if size+bytes > limit && size > partBytes {
-			parts, total = append(parts, part), total+size
-			part, size = Progress{ID: p.ID, Part: len(parts)}, partBytes
+// maxAdviceBytes limits the advice in the progress of a job. It saves the next leader calls, but
+// grows with the number of workers for each open step, unlike the rest.
+const maxAdviceBytes = maxSaveBytes / 4
+
+// progressPart is a part of a job's progress with an upper bound of its encoded size.
+type progressPart struct {
+	Progress
+	bytes int
+}
+
+// progressSplitter divides progress into parts of at most limit bytes.
+type progressSplitter struct {
+	limit int
+	parts []progressPart
+}
+
+// last returns the part that is being filled.
+func (p *progressSplitter) last() *progressPart { return &p.parts[len(p.parts)-1] }
+
+// reserve makes room in the last part, or begins another one.
+func (p *progressSplitter) reserve(bytes int) {
+	if p.last().bytes+bytes > p.limit && p.last().bytes > partBytes {
+		p.parts = append(p.parts, progressPart{Progress{ID: p.parts[0].ID, Part: len(p.parts), Started: p.parts[0].Started}, partBytes})
+	}
+	p.last().bytes += bytes
+}
+
+// addFailures adds the failures of a task, which may take several parts.
+func (p *progressSplitter) addFailures(sp *StepProgress, f TaskFailures) {
+	perPart := max(1, (p.limit-partBytes-stepBytes-failuresBytes)/runBytes)
+	for runs := range slices.Chunk(f.Runs, perPart) {
+		bytes := failuresBytes + runBytes*len(runs)
+		steps := p.last().Steps
+		continues := len(steps) > 0 && steps[len(steps)-1].Occurrence == sp.Occurrence && steps[len(steps)-1].Step == sp.Step
+		if !continues || p.last().bytes+bytes > p.limit {
+			p.reserve(stepBytes + bytes)
+			p.last().Steps = append(p.last().Steps, StepProgress{Occurrence: sp.Occurrence, Step: sp.Step})
+		} else {
+			p.last().bytes += bytes
 		}
-		size += bytes
+		step := &p.last().Steps[len(p.last().Steps)-1]
+		step.Failures = append(step.Failures, TaskFailures{f.Index, runs})
 	}
+}
+
+// split divides the progress of a job into parts whose encoding has at most limit bytes each,
+// and returns them with the sum of their sizes. Advice that exceeds maxAdviceBytes, or for which
+// a save has no room besides the rest, is left out: the next leader requests it again.
+func (p Progress) split(limit int) (parts []progressPart, total int) {
+	s := progressSplitter{limit, []progressPart{{Progress{ID: p.ID, State: p.State, Started: p.Started}, partBytes}}}
 	for _, r := range p.CompletedOccurrences {
-		reserve(rangeBytes)
-		part.CompletedOccurrences = append(part.CompletedOccurrences, r)
+		s.reserve(rangeBytes)
+		s.last().CompletedOccurrences = append(s.last().CompletedOccurrences, r)
 	}
-	for _, sp := range p.Steps {
-		failures := sp.Failures
-		sp.Failures = nil
-		if sp.adviceBytes() > limit-partBytes-stepBytes-len(sp.Done) {
-			sp.AllowedWorkers, sp.DeniedWorkers = nil, nil
+	for i := range p.Steps {
+		sp := &p.Steps[i]
+		if sp.Done != nil {
+			s.reserve(stepBytes + len(sp.Done))
+			s.last().Steps = append(s.last().Steps, StepProgress{Occurrence: sp.Occurrence, Step: sp.Step, Done: sp.Done})
 		}
-		if !sp.empty() || len(failures) > 0 {
-			reserve(stepBytes + len(sp.Done) + sp.adviceBytes())
-			part.Steps = append(part.Steps, sp)
+		for _, f := range sp.Failures {
+			s.addFailures(sp, f)
 		}
-		for _, f := range failures {
-			bytes := failuresBytes + runBytes*len(f.Runs)
-			if size+bytes > limit {
-				reserve(stepBytes + bytes)
-				part.Steps = append(part.Steps, StepProgress{Occurrence: sp.Occurrence, Step: sp.Step})
-			} else {
-				size += bytes
-			}
-			last := &part.Steps[len(part.Steps)-1]
-			last.Failures = append(last.Failures, f)
+	}
+	total = totalBytes(s.parts)
+	advice := 0
+	for i := range p.Steps {
+		sp := &p.Steps[i]
+		bytes := stepBytes + sp.adviceBytes()
+		if bytes == stepBytes || partBytes+bytes > limit {
+			continue
 		}
+		if advice+bytes > maxAdviceBytes || total+partBytes+bytes > maxSaveBytes || len(s.parts) == maxSaveEntries {
+			break
+		}
+		s.reserve(bytes)
+		s.last().Steps = append(s.last().Steps, StepProgress{Occurrence: sp.Occurrence, Step: sp.Step, AllowedWorkers: sp.AllowedWorkers, DeniedWorkers: sp.DeniedWorkers})
+		advice, total = advice+bytes, totalBytes(s.parts)
+	}
+	return s.parts, total
+}
+
+func totalBytes(parts []progressPart) int {
+	n := 0
+	for i := range parts {
+		n += parts[i].bytes
 	}
-	return append(parts, part), total + size
+	return n
 }
 
 // sortProgress orders the parts of the progress of all jobs, so that the first part of a job
--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -166,8 +166,15 @@
 	maxSavedJobs int // in one save; reduced after the store has rejected one
 	savingJobs   []savedJob
 	saveMarks    map[*worker]endMark
-	openSave     *Save // the save without a result, or nil
-	lastSaveAt   time.Time
+	// dividedJob is a job whose progress is being written with several saves, or nil;
+	// dividedNumbers are the numbers of the parts that are in a save. deferredMarks are the ends
+	// that the last of these saves covers.
+	dividedJob     *jobState
+	dividedNumbers []int
+	deferredMarks  map[*worker]endMark
+	obsoleteParts  map[*jobState]struct{} // jobs with parts that newer ones have replaced
+	openSave       *Save                  // the save without a result, or nil
+	lastSaveAt     time.Time
 
 	backlogState
 
@@ -201,6 +208,7 @@
 		timedJobs:          map[*jobState]struct{}{},
 		withdrawnJobs:      map[job.ID][]string{},
 		unsavedJobs:        map[*jobState]struct{}{},
+		obsoleteParts:      map[*jobState]struct{}{},
 		firstLeader:        o.FirstLeader,
 		starts:             startwindow.New(o.MaxPendingStarts),
 		advice:             newAdvisor(),
--- a/dispatch/retention.go
+++ b/dispatch/retention.go
@@ -79,6 +79,7 @@
 			}
 			delete(r.jobs, c.id)
 			delete(r.unsavedJobs, j)
+			delete(r.obsoleteParts, j)
 			r.progressRemovals = append(r.progressRemovals, c.id)
 		case j != nil && j.savedState != "", withdrawn:
 			r.openRemovals++
--- a/dispatch/save.go
+++ b/dispatch/save.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -35,9 +36,9 @@
 
 // savedJob is a job in the open save and the state that the save stores.
 type savedJob struct {
-	job         *jobState
-	state       job.State
-	storedParts int // before the save
+	job     *jobState
+	state   job.State
+	numbers []int // of the parts that then hold its progress; nil if further ones follow
 }
 
 // awaitConfirmation requests a confirmation of the leadership from after a time, instead of
@@ -51,8 +52,8 @@
 // startSave saves pending changes, one save at a time. A save without changes confirms the
 // leadership.
 func (r *Reducer) startSave() {
-	changes := len(r.unsavedJobs) + len(r.enrolling) + len(r.unenrolling) + len(r.progressRemovals)
-	needed := changes > 0 || !r.confirmedAt.After(r.toBeConfirmed)
+	changes := len(r.unsavedJobs) + len(r.enrolling) + len(r.unenrolling) + len(r.progressRemovals) + len(r.obsoleteParts)
+	needed := changes > 0 || r.dividedJob != nil || !r.confirmedAt.After(r.toBeConfirmed)
 	if !r.loaded || r.saveMarks != nil || !needed || r.now.Sub(r.lastSaveAt) < max(saveInterval, saveIntervalPerLeader*time.Duration(r.leaderCount)) {
 		return
 	}
@@ -62,46 +63,87 @@
 	r.addWorkerChanges(save)
 	n := min(len(r.progressRemovals), maxProgressRemovals)
 	save.RemovedProgress, r.progressRemovals = r.progressRemovals[:n:n], r.progressRemovals[n:]
-	r.addJobProgress(save)
+	room := saveRoom{maxSaveEntries - len(save.Enrolled) - len(save.Unenrolled) - len(save.RemovedProgress), maxSaveBytes}
+	r.addJobProgress(save, &room)
+	r.addPartRemovals(save, &room)
 	r.addRuntimes(save)
-	if len(r.unsavedJobs) == 0 {
-		for _, w := range r.sortedWorkers {
-			r.saveMarks[w] = endMark{w.startTime, w.processedEnd}
-		}
-	}
+	r.markSavedEnds()
 	sortProgress(save.Progress)
 	r.openSave, r.effects.Save = save, save
 }
 
-// addJobProgress adds the progress of unsaved jobs to a save, as far as there is room.
-func (r *Reducer) addJobProgress(save *Save) {
-	entries := maxSaveEntries - len(save.Enrolled) - len(save.Unenrolled) - len(save.RemovedProgress)
-	bytes := maxSaveBytes
-	for j := range r.unsavedJobs {
-		if entries <= 0 || len(r.savingJobs) == r.maxSavedJobs {
-			return
-		}
-		parts, size := j.progress().split(r.maxPartBytes)
-		if size > maxSaveBytes || max(len(parts), j.storedParts) > maxSaveEntries {
-			r.rejectProgress(j, "its progress exceeds a transaction")
-			parts, size = j.progress().split(r.maxPartBytes)
+// markSavedEnds determines the ends that the open save covers. Those of a job whose progress is
+// divided are covered by the last save of the division, with all that had been saved when it began.
+func (r *Reducer) markSavedEnds() {
+	isDivided := r.dividedJob != nil && len(r.dividedJob.parts.pending) > 0
+	if len(r.unsavedJobs) == 0 && (r.deferredMarks == nil || !isDivided) {
+		r.deferredMarks = map[*worker]endMark{}
+		for _, w := range r.sortedWorkers {
+			r.deferredMarks[w] = endMark{w.startTime, w.processedEnd}
 		}
-		if size > bytes || max(len(parts), j.storedParts) > entries {
-			continue
+	}
+	if r.deferredMarks != nil && !isDivided {
+		r.saveMarks, r.deferredMarks = r.deferredMarks, nil
+	}
+}
+
+// addJobProgress adds the progress of unsaved jobs to a save, as far as there is room. Jobs that
+// have taken several parts come first, so that smaller ones do not keep them out.
+func (r *Reducer) addJobProgress(save *Save, room *saveRoom) {
+	if j := r.dividedJob; j != nil && j.closed() {
+		r.abandonDivision()
+	}
+	r.addPendingParts(save, room)
+	for _, large := range []bool{true, false} {
+		for j := range r.unsavedJobs {
+			if (len(j.parts.complete) > 1) != large || j == r.dividedJob {
+				continue
+			}
+			if room.entries <= 0 || len(r.savingJobs) == r.maxSavedJobs {
+				return
+			}
+			r.addProgressOf(j, save, room)
 		}
-		delete(r.unsavedJobs, j)
-		save.Progress = append(save.Progress, parts...)
-		for n := len(parts); n < j.storedParts; n++ {
-			save.RemovedParts = append(save.RemovedParts, ProgressPart{j.job.ID, n})
+	}
+}
+
+func (r *Reducer) addProgressOf(j *jobState, save *Save, room *saveRoom) {
+	parts, size := j.progress().split(r.partLimit(j))
+	switch {
+	case size > maxSaveBytes || len(parts) > maxSaveEntries:
+		if r.dividedJob == nil {
+			delete(r.unsavedJobs, j)
+			r.dividedJob = j
+			j.parts.divide(parts)
+			r.addNote(Note{Kind: NoteProgressDivided, Job: j.job.ID, Detail: fmt.Sprintf("%d bytes in %d parts", size, len(parts))})
+			r.addPendingParts(save, room)
 		}
-		entries -= max(len(parts), j.storedParts)
-		bytes -= size
-		r.savingJobs = append(r.savingJobs, savedJob{j, j.state, j.storedParts})
-		j.storedParts = len(parts)
+		return
+	case !room.has(len(parts), size):
+		return
+	}
+	delete(r.unsavedJobs, j)
+	room.take(len(parts), size)
+	saved := savedJob{job: j, state: j.state}
+	for _, p := range parts {
+		save.Progress = append(save.Progress, p.Progress)
+		saved.numbers = append(saved.numbers, p.Part)
+	}
+	r.savingJobs = append(r.savingJobs, saved)
+}
+
+// partLimit returns the largest part of a job's progress.
+func (r *Reducer) partLimit(j *jobState) int {
+	if j.smallParts {
+		return min(r.maxPartBytes, smallPartBytes)
 	}
+	return r.maxPartBytes
 }
 
-// rejectProgress closes a job whose progress cannot be stored. Without it, tasks of the job
+// smallPartBytes limits the parts of a job of which the store has refused larger ones.
+const smallPartBytes = 3072
+
+// rejectProgress closes a job whose progress the store refuses, whatever its size. Without it, tasks of the job
 // that are done would run again, and no other job of the shard could be saved.
 func (r *Reducer) rejectProgress(j *jobState, reason string) {
 	r.addNote(Note{Kind: NoteProgressRejected, Job: j.job.ID, Detail: reason})
@@ -134,9 +176,7 @@
 	if number != r.saveNumber || r.saveMarks == nil {
 		return
 	}
-	for _, s := range r.savingJobs {
-		s.job.savedState = s.state
-	}
+	r.recordParts(r.openSave)
 	for _, saved := range r.openSave.Enrolled {
 		if w := r.workers[saved.Worker.ID]; w != nil {
 			w.setEnrolled(saved)
@@ -153,7 +193,8 @@
 }
 
 // handleSaveRejected divides a save that the store refuses, until the job is found whose
-// progress it refuses. That job is closed only if the store has taken other writes meanwhile.
+// progress it refuses. That job is saved in smaller parts, and closed if the store refuses these
+// too, both only if the store has taken other writes meanwhile.
 func (r *Reducer) handleSaveRejected(e SaveRejected) {
 	if e.Number != r.saveNumber || r.saveMarks == nil {
 		return
@@ -162,14 +203,17 @@
 		switch j := r.savingJobs[0].job; {
 		case j.rejectedVersion == 0:
 			j.rejectedVersion = r.confirmedVersion
-		case j.rejectedVersion < r.confirmedVersion:
+		case j.rejectedVersion == r.confirmedVersion:
+		case !j.smallParts:
+			j.smallParts, j.rejectedVersion = true, r.confirmedVersion
+		default:
 			r.rejectProgress(j, e.Err.Error())
 		}
 	}
 	for _, s := range r.savingJobs {
-		s.job.storedParts = max(s.job.storedParts, s.storedParts)
 		r.unsavedJobs[s.job] = struct{}{}
 	}
+	r.abandonDivision()
 	for _, saved := range r.openSave.Enrolled {
 		if w := r.workers[saved.Worker.ID]; w != nil {
 			r.enrolling[w] = struct{}{}
--- a/dispatch/simulation_test.go
+++ b/dispatch/simulation_test.go
@@ -183,20 +183,26 @@
 		return time.Duration(step.EstimateMilliseconds * float64(time.Millisecond))
 	}
 	for n := range workers {
-		id := job.WorkerID(fmt.Sprintf("w%02d", n))
-		sim.workers[id] = &fakeWorker{
-			worker: job.Worker{
-				ID: id, Pool: "pool", StartTime: 1,
-				Capacity: model.Resources{MilliCPU: processors * 1000, MemoryBytes: 64 * gigabyte},
-			},
-			startTime: 1, clockOffset: int64(n) * 1_000_000,
-			running: map[job.TaskID]*fakeRun{}, stopped: map[job.TaskID]int64{},
-		}
+		sim.addFakeWorker(job.WorkerID(fmt.Sprintf("w%02d", n)), processors)
 	}
 	sim.startLeader(dispatch.Options{Token: 1, FirstLeader: true, ClaimedAt: sim.now, PredecessorSuspectedAt: sim.now})
 	return sim
 }
 
+// addFakeWorker adds a worker that is not registered yet.
+func (sim *simulation) addFakeWorker(id job.WorkerID, processors int64) *fakeWorker {
+	w := &fakeWorker{
+		worker: job.Worker{
+			ID: id, Pool: "pool", StartTime: 1,
+			Capacity: model.Resources{MilliCPU: processors * 1000, MemoryBytes: 64 * gigabyte},
+		},
+		startTime: 1, clockOffset: int64(len(sim.workers)) * 1_000_000,
+		running: map[job.TaskID]*fakeRun{}, stopped: map[job.TaskID]int64{},
+	}
+	sim.workers[id] = w
+	return w
+}
+
 // startLeader starts a new leader with the content of the store.
 func (sim *simulation) startLeader(o dispatch.Options) {
 	if sim.leader != nil {
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -317,7 +317,7 @@
 			r.markListed(w)
 		}
 	}
-	if w.processedEnd > w.savedEnd && len(r.unsavedJobs) == 0 && r.saveMarks == nil {
+	if w.processedEnd > w.savedEnd && !r.hasUnsavedProgress() && r.saveMarks == nil {
 		// None of the ends changed the durable state.
 		w.savedEnd = w.processedEnd
 	}
--- a/instance/effects.go
+++ b/instance/effects.go
@@ -200,6 +200,7 @@
 	dispatch.NoteStepWaiting:            logevent.StepWaiting,
 	dispatch.NotePredecessorRunsSettled: logevent.PredecessorRunsSettled,
 	dispatch.NoteProgressRejected:       logevent.ProgressRejected,
+	dispatch.NoteProgressDivided:        logevent.ProgressDivided,
 	dispatch.NoteRunAdopted:             logevent.RunAdopted,
 	dispatch.NoteStepOverdue:            logevent.StepOverdue,
 	dispatch.NoteTenantAtQuota:          logevent.TenantAtQuota,
--- a/jobstore/jobstore.go
+++ b/jobstore/jobstore.go
@@ -13,9 +13,9 @@
 // cancellation by another tenant, stored before the job, does not concern it.
 //
 // Only the leader writes progress, in the partition of the leader's row. Progress that is
-// too large for one row has further rows, which are written in the same transaction. Each save
-// expects the last known version of that row. So a save by a deposed leader fails,
-// and a save whose answer was lost cannot be applied after a newer one.
+// too large for one row has further rows. Each save expects the last known version of the
+// leader's row. So a save by a deposed leader fails, and a save whose answer was lost cannot be
+// applied after a newer one.
 //
 // # Usage
 //
