dispatch: work that fails on any worker does not make workers suspect

Cause: each failure counted against its worker. Four services that were started again at once renewed the verdict on all 48 workers faster than it ends, and a worker whose tasks last was never cleared.

Change: failures of a step's tasks on three workers, without a success in between, are put down to the tasks, over all occurrences, and no longer count. A task that lasts and has worked for 3 s since the last failure clears its worker.

The suite of dispatch passes.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -178,6 +178,15 @@
 	return slices.BinarySearchFunc(a.tickets, id, func(t ticket, id job.WorkerID) int { return compare(t.worker.registration.ID, id) })
 }
 
+// isDenied reports whether a worker may not run the step.
+func (a *stepAdvice) isDenied(w *worker) bool {
+	if _, asked := a.asked[w]; !asked {
+		return false
+	}
+	_, allowed := a.findTicket(w.registration.ID)
+	return !allowed
+}
+
 // expireTicket invalidates a worker's ticket.
 func (a *stepAdvice) expireTicket(id job.WorkerID) {
 	if at, found := a.findTicket(id); found {
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -36,6 +36,10 @@
 		}
 		fitting += fitCount(s.step.Allocation(), w.uncommitted)
 	})
+	avoided := 0
+	if s.job.queue.MaxAttempts <= fewAttempts && !s.acceptsSuspects {
+		_, avoided = p.countSuspects(s)
+	}
 	passedOver := time.Duration(0)
 	if !s.passedOverSince.IsZero() {
 		passedOver = p.now.Sub(s.passedOverSince).Round(time.Millisecond)
@@ -43,8 +47,8 @@
 	p.addNote(Note{
 		Kind: NoteStepWaiting, Job: s.id.Job, Age: p.now.Sub(s.openedAt),
 		Detail: fmt.Sprintf(
-			"step %d lacks %d tasks: %d workers may run it, %d reserved for others, room for %d tasks, %d chosen, %d tickets to renew, passed over for %s, %s",
-			s.id.Step, missing, eligible, reserved, fitting, chosen, len(s.advice.renew), passedOver, c.grade,
+			"step %d lacks %d tasks: %d workers may run it, %d avoided as failing, %d reserved for others, room for %d tasks, %d chosen, %d tickets to renew, passed over for %s, %s",
+			s.id.Step, missing, eligible, avoided, reserved, fitting, chosen, len(s.advice.renew), passedOver, c.grade,
 		),
 	})
 }
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -24,6 +24,11 @@
 	serviceProbation  = 3 * time.Second
 	failurePause      = 1500 * time.Millisecond // doubles with each further failure, maxPauseDoublings times at most
 	maxPauseDoublings = 2
+	maxFailures       = pauseThreshold + maxPauseDoublings
+	// failsAnywhereThreshold is the number of workers on which the tasks of a step have to fail,
+	// and none succeed, for their failures to say nothing about workers. Otherwise the tasks of a
+	// few jobs that can never succeed would make all workers suspect.
+	failsAnywhereThreshold = 3
 
 	averageWeight = 0.3 // of the newest observation in a moving average
 
@@ -61,11 +66,11 @@
 // health is what recent runs and orders show about a worker.
 type health struct {
 	pausedUntil        time.Time
-	failures           int       // consecutive failed jobs
-	failedJob          job.ID    // the last of them
-	suspectUntil       time.Time // until when it gets no tasks with few attempts
-	unansweredFraction float64   // moving average of the fraction of orders without an answer
-	unansweredUntil    time.Time // until when unansweredFraction counts
+	failed             []*failureRecord // of the jobs that failed in a row, maxFailures at most
+	failedAt           time.Time        // when the last of them failed
+	suspectUntil       time.Time        // until when it gets no tasks with few attempts
+	unansweredFraction float64          // moving average of the fraction of orders without an answer
+	unansweredUntil    time.Time        // until when unansweredFraction counts
 	recent             []evidence
 	slowdown           float64   // how many times longer than expected runs take; zero before the first run
 	slow               bool      // runs take much longer than expected, with enough evidence
@@ -153,14 +158,26 @@
 
 // isSuspect reports whether several jobs in a row have failed on a worker recently.
 func (h *health) isSuspect(now time.Time) bool {
-	return h.failures >= suspectThreshold && now.Before(h.suspectUntil)
+	return h.countFailures() >= suspectThreshold && now.Before(h.suspectUntil)
+}
+
+// countFailures returns how many jobs have failed in a row, without those whose tasks fail on
+// any worker.
+func (h *health) countFailures() int {
+	n := 0
+	for _, f := range h.failed {
+		if !f.failsAnywhere() {
+			n++
+		}
+	}
+	return n
 }
 
 // isClosedAsFailing reports whether a worker gets no new tasks after a pause because jobs failed
 // on it: it has a run whose end will show whether they still do, and is suspect.
 func (w *worker) isClosedAsFailing(now time.Time) bool {
 	h := &w.health
-	return h.failures >= pauseThreshold && w.hasEndingRuns() && now.Before(h.suspectUntil)
+	return h.countFailures() >= pauseThreshold && w.hasEndingRuns() && now.Before(h.suspectUntil)
 }
 
 // hasEndingRuns reports whether a worker has a run that ends by itself.
@@ -173,26 +190,75 @@
 	return false
 }
 
+// failureRecord lists the workers on which runs of a step have failed, in any occurrence, since
+// one last succeeded.
+type failureRecord struct {
+	job     job.ID
+	workers []job.WorkerID // failsAnywhereThreshold at most
+}
+
+// failsAnywhere reports whether the failures of a step's tasks say something about the tasks, and
+// not about the workers.
+func (f *failureRecord) failsAnywhere() bool { return len(f.workers) >= failsAnywhereThreshold }
+
+func (f *failureRecord) add(id job.WorkerID) {
+	if !f.failsAnywhere() && !slices.Contains(f.workers, id) {
+		f.workers = append(f.workers, id)
+	}
+}
+
+// failureRecord returns the record of a step's failures.
+func (s *stepState) failureRecord() *failureRecord {
+	j := s.job
+	if j.failureRecords == nil {
+		j.failureRecords = make([]failureRecord, len(j.job.Definition.Steps))
+	}
+	f := &j.failureRecords[s.id.Step]
+	f.job = j.job.ID
+	return f
+}
+
 // observeEnd counts the end of a run. Consecutive failures of the same job count once.
 func (h *health) observeEnd(now time.Time, run *run, kind job.EndKind) {
 	if run.step.step.LongRunning && kind == job.EndFailed && now.Sub(run.orderedAt) >= serviceProbation {
 		kind = job.EndDone // it has worked here
 	}
-	id := run.task.Job
 	switch kind {
 	case job.EndFailed:
-		if h.failedJob == id {
+		f := run.step.failureRecord()
+		f.add(run.worker.registration.ID)
+		if n := len(h.failed); f.failsAnywhere() || n > 0 && h.failed[n-1].job == f.job {
 			return
 		}
-		h.failures, h.failedJob = h.failures+1, id
-		if h.failures >= pauseThreshold {
-			h.pause(now.Add(failurePause << min(h.failures-pauseThreshold, maxPauseDoublings)))
+		h.failed, h.failedAt = append(h.failed, f), now
+		if len(h.failed) > maxFailures {
+			h.failed = slices.Delete(h.failed, 0, 1)
+		}
+		failures := h.countFailures()
+		if failures >= pauseThreshold {
+			h.pause(now.Add(failurePause << min(failures-pauseThreshold, maxPauseDoublings)))
 		}
-		if h.failures >= suspectThreshold {
+		if failures >= suspectThreshold {
 			h.suspectUntil = now.Add(max(0, h.pausedUntil.Sub(now)) + suspectDuration)
 		}
 	case job.EndDone:
-		h.failures, h.failedJob = 0, ""
+		h.observeSuccess(run)
+	}
+}
+
+// observeSuccess records that a run shows its worker and its step to be sound.
+func (h *health) observeSuccess(run *run) {
+	h.failed = nil
+	if run.step.job.failureRecords != nil {
+		run.step.failureRecord().workers = nil
+	}
+}
+
+// observeService records that a task that lasts, and was started after the last failure on its
+// worker, has worked for a while. It may never end.
+func (h *health) observeService(now time.Time, run *run) {
+	if len(h.failed) > 0 && run.step.step.LongRunning && run.presentSince.After(h.failedAt) && now.Sub(run.presentSince) >= serviceProbation {
+		h.observeSuccess(run)
 	}
 }
 
@@ -236,7 +302,9 @@
 			detail = fmt.Sprintf("leaves, in %s at the earliest", w.registration.LeavesAt.Sub(r.now).Round(time.Millisecond))
 		}
 	case healthFailing:
-		detail = fmt.Sprintf("%d jobs failed in a row, last %s", w.health.failures, w.health.failedJob)
+		if n := len(w.health.failed); n > 0 {
+			detail = fmt.Sprintf("%d jobs failed in a row, last %s", w.health.countFailures(), w.health.failed[n-1].job)
+		}
 	case healthSlow:
 		detail = fmt.Sprintf("runs of %d jobs take %.1f times as long as expected", len(w.health.recent), w.health.slowdown)
 	case healthUnreliable:
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -32,6 +32,7 @@
 	beyondShare          bool                  // its tenant had used up its share when it was accepted
 	countedBytes         int64                 // in the backlog
 	planVersion          int                   // version of the forecast that the plan uses
+	failureRecords       []failureRecord       // by step; nil before the first failure
 }
 
 func (j *jobState) closed() bool { return j.state != "" }
@@ -141,6 +142,8 @@
 	quotaHeldSince    time.Time // when its tenant's quota first held it back since its last start; zero if it has not
 	atQuota           bool      // the last pass skipped it because of its tenant's quota
 	aboveQuota        bool      // it was logged that it can never run within its tenant's quota
+	avoidingSince     time.Time // since when suspect workers have kept it waiting; zero if they do not
+	acceptsSuspects   bool      // it has waited for so long that suspect workers may run it
 }
 
 // recordCheckpoint stores the checkpoint of a run. The checkpoint of any member is valid for
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -25,6 +25,9 @@
 	for _, w := range r.sortedWorkers {
 		w.acceptsRuns, w.uncommitted = r.acceptsRuns(w), w.free()
 		w.unreliable, w.suspect = w.health.isUnreliable(r.now), w.health.isSuspect(r.now)
+		if w.acceptsRuns && w.suspect {
+			p.suspects++
+		}
 		r.noteHealthChange(w)
 		r.hideUnreadRuns(w)
 		if p.reserving {
@@ -115,6 +118,7 @@
 	reservedSteps       int  // blocked steps with reserved workers
 	reservationSearches int  // searches for workers to reserve
 	explained           int  // steps whose waiting was logged
+	suspects            int  // workers that accept runs and are suspect
 	places              []place
 	choices             []choice
 	placement           runtimes.Placement // of the step that is being placed
@@ -148,6 +152,7 @@
 	withheld := missing - admitted
 	choices := p.choosePlaces(c, admitted)
 	blocked := len(choices) < admitted
+	p.noteAvoidance(s, blocked)
 	if s.step.Gang && (blocked || missing < len(s.tasks)) {
 		choices = nil
 	}
@@ -240,11 +245,51 @@
 func (s *stepState) isEligible(w *worker) bool {
 	return w.registration.Pool == s.job.queue.Pool &&
 		(!w.unreliable || s.job.queue.Priority > urgentPriority && !s.step.Gang) &&
-		(!w.suspect || s.job.queue.MaxAttempts > fewAttempts) &&
+		(!w.suspect || s.acceptsSuspects || s.job.queue.MaxAttempts > fewAttempts) &&
 		(s.step.RequiredLabel == "" || slices.Contains(w.registration.Labels, s.step.RequiredLabel)) &&
 		s.step.Allocation().Fits(w.registration.Capacity)
 }
 
+// noteAvoidance determines whether a step with few attempts may use suspect workers. If most of the
+// workers that may run it are suspect, a choice among the others says little, and the step would
+// wait for as long as jobs go on failing.
+func (p *pass) noteAvoidance(s *stepState, blocked bool) {
+	if !blocked || s.job.queue.MaxAttempts > fewAttempts {
+		s.avoidingSince, s.acceptsSuspects = time.Time{}, false
+		return
+	}
+	if total, suspect := p.countSuspects(s); 2*suspect <= total {
+		s.avoidingSince, s.acceptsSuspects = time.Time{}, false
+		return
+	}
+	if s.avoidingSince.IsZero() {
+		s.avoidingSince = p.now
+	}
+	if !s.acceptsSuspects && p.now.Sub(s.avoidingSince) >= suspectDuration {
+		s.acceptsSuspects, p.needsPass = true, true
+	}
+}
+
+// countSuspects returns how many workers might run a step, and how many of them are suspect. If the
+// step requires advice, workers that have not been asked about count too.
+func (p *pass) countSuspects(s *stepState) (total, suspect int) {
+	if p.suspects == 0 {
+		return 0, 0
+	}
+	defer func(before bool) { s.acceptsSuspects = before }(s.acceptsSuspects)
+	s.acceptsSuspects = true
+	for _, w := range p.sortedWorkers {
+		if !w.acceptsRuns || !s.isEligible(w) || s.job.queue.RequiresAdvice && s.advice.isDenied(w) {
+			continue
+		}
+		total++
+		if w.suspect {
+			suspect++
+		}
+	}
+	return total, suspect
+}
+
 // eachEligible calls f for the workers that accept runs and may run a step.
 func (p *pass) eachEligible(s *stepState, f func(*worker, *ticket)) {
 	if s.job.queue.RequiresAdvice {
@@ -384,6 +429,7 @@
 	remotePenalty     = 2
 	ticketPenalty     = 1
 	unreliablePenalty = 1
+	suspectPenalty    = 1
 	servicePenalty    = 1
 	// reservedPenalty applies to tasks that may take capacity reserved for another step: urgent
 	// ones, and those that end before it is needed.
@@ -411,6 +457,9 @@
 	if w.unreliable {
 		l.score += unreliablePenalty
 	}
+	if w.suspect && s.acceptsSuspects {
+		l.score += suspectPenalty
+	}
 	if w.reservedFor != nil && w.reservedFor != s {
 		l.score += reservedPenalty
 	}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -402,6 +402,7 @@
 		if known.presentSince.IsZero() {
 			known.presentSince = r.now
 		}
+		w.health.observeService(r.now, known)
 		if r.hasSurvivedStop(known) {
 			known.stopAnsweredAt = time.Time{}
 			r.sendStop(known)
