dispatch: further workers are asked about when a blocked step needs their room

Cause: few further workers are asked about only 4 s after the latest answer, and the calls that keep the tickets of full workers valid were answered each 2.35 s. The delay also held while no allowed worker had room.

Event 856 now tells how many possible workers were not asked about.

Change: the delay counts from answers about workers that no earlier call had named, and does not hold for workers with room that the step waits for. Advice on a worker whose labels change is dropped, since the worker is of another kind then.

The specs of dispatch pass.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -62,8 +62,9 @@
 	hedgeAt   time.Time      // when the answer to a cheap call becomes overdue
 	retryAt   time.Time
 	widenAt   time.Time // earliest time of the next search for more workers
-	// answeredAt is the time of the latest answer; zero before the first.
-	answeredAt time.Time
+	// widenedAt is the time of the latest answer about workers that no earlier call had named;
+	// zero before the first.
+	widenedAt time.Time
 }
 
 // ticket is the permission to run a step on a worker. When it expires, the worker remains
@@ -391,9 +392,10 @@
 	if !mayWiden && len(list) <= len(s.advice.asked) {
 		return nil
 	}
-	if !firstCall && len(list) < len(s.advice.asked)/widenDivisor && s.hasUsableTicket() && r.now.Sub(s.advice.answeredAt) < fewWorkersDelay {
-		// A few workers that became available again do not justify a call at once.
-		return nil
+	if !firstCall && len(list) < len(s.advice.asked)/widenDivisor && s.hasUsableTicket() && r.now.Sub(s.advice.widenedAt) < fewWorkersDelay {
+		// A few workers that became available again do not justify a call at once, unless the
+		// step waits for room that they have.
+		list = r.workersWithMissingRoom(s, list)
 	}
 	if class != advicelane.Expensive {
 		list = preferTightFit(s, list, limit)
@@ -447,13 +449,47 @@
 }
 
 // widenDivisor divides the number of workers already asked for. Fewer further workers than that
-// are not worth another call before fewWorkersDelay after the last answer, unless no worker that
-// may run the step accepts runs.
+// are not worth another call before fewWorkersDelay after the last such answer, unless no worker
+// that may run the step accepts runs, or the further ones have room that the others lack.
 const (
 	widenDivisor    = 4
 	fewWorkersDelay = 4 * time.Second
 )
 
+// workersWithMissingRoom returns those of the further workers that have room for a task of a blocked
+// step, or none if the step needs no more room than the workers have that may run it, or would lack
+// room for a gang even with these.
+func (r *Reducer) workersWithMissingRoom(s *stepState, further []*worker) []*worker {
+	missing, room := s.idleTasks(), 0
+	for i := range s.advice.tickets {
+		if w := s.advice.tickets[i].worker; w.acceptsRuns && s.isEligible(w) {
+			room += s.roomOn(w)
+		}
+	}
+	if room >= missing {
+		return nil
+	}
+	var list []*worker
+	for _, w := range further {
+		if n := s.roomOn(w); n > 0 {
+			list = append(list, w)
+			room += n
+		}
+	}
+	if s.step.Gang && room < missing {
+		return nil
+	}
+	return list
+}
+
+// roomOn returns how many tasks of a step fit on a worker after the last pass.
+func (s *stepState) roomOn(w *worker) int {
+	if w.isReservedAgainst(s) && s.job.queue.Priority > urgentPriority {
+		return 0
+	}
+	return s.taskCapacity(&place{worker: w, free: w.uncommitted, tasks: s.runsOn(w)})
+}
+
 // hasUsableTicket reports whether a worker that may run the step accepts runs. Its ticket may
 // have expired.
 func (s *stepState) hasUsableTicket() bool {
@@ -519,7 +555,10 @@
 		return
 	}
 	r.recordAdvice(s, nil, c.workers)
-	s.advice.holdUntil, s.advice.answeredAt = time.Time{}, r.now
+	s.advice.holdUntil = time.Time{}
+	if c.purpose == purposeFirst || c.purpose == purposeWiden {
+		s.advice.widenedAt = r.now
+	}
 	if r.callClass(&s.job.queue) == advicelane.Expensive {
 		s.advice.stored = true
 		if s.job.offeredAt.IsZero() {
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -40,6 +40,10 @@
 	if s.job.queue.MaxAttempts <= fewAttempts && !s.acceptsSuspects {
 		_, avoided = p.countSuspects(s)
 	}
+	notAsked := 0
+	if s.job.queue.RequiresAdvice {
+		notAsked = p.countNotAsked(s)
+	}
 	passedOver := time.Duration(0)
 	if !s.passedOverSince.IsZero() {
 		passedOver = p.now.Sub(s.passedOverSince).Round(time.Millisecond)
@@ -47,12 +51,23 @@
 	p.addNote(Note{
 		Kind: NoteStepWaiting, Job: s.id.Job, Age: p.now.Sub(s.openedAt),
 		Detail: fmt.Sprintf(
-			"step %d lacks %d tasks: %d workers may run it, %d avoided as failing, %d reserved for others, room for %d tasks, %d chosen, %d tickets to renew, passed over for %s, %s",
-			s.id.Step, missing, eligible, avoided, reserved, fitting, chosen, len(s.advice.renew), passedOver, c.grade,
+			"step %d lacks %d tasks: %d workers may run it, %d avoided as failing, %d not asked about, %d reserved for others, room for %d tasks, %d chosen, %d tickets to renew, passed over for %s, %s",
+			s.id.Step, missing, eligible, avoided, notAsked, reserved, fitting, chosen, len(s.advice.renew), passedOver, c.grade,
 		),
 	})
 }
 
+// countNotAsked returns how many workers could run a step, of which the advice service was not asked.
+func (p *pass) countNotAsked(s *stepState) int {
+	n := 0
+	for _, w := range p.sortedWorkers {
+		if _, asked := s.advice.asked[w]; !asked && w.acceptsRuns && s.isEligible(w) {
+			n++
+		}
+	}
+	return n
+}
+
 // String returns the text of a grade for log lines.
 func (g grade) String() string {
 	switch g {
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -99,6 +99,10 @@
 	if !w.enrolled {
 		r.enrolling[w] = struct{}{}
 	}
+	if w.wasRead && !slices.Equal(registration.Labels, w.registration.Labels) {
+		// A new incarnation may be of another kind, which other steps may run on.
+		r.forgetAdviceOn(w)
+	}
 	w.registration, w.registered = registration, true
 	w.describeSpeed()
 	r.needsPass = true
