instance: a job that is to be refused is not accepted while nobody knows whether it is stored

Cause: a job is refused only if it is not stored, since a client may repeat a submission. refuseUnlessStored took "not known" for "stored". The submission went on without the check, and the leader, which stores jobs for such an instance, made none.

Change: stored, not stored and not known are three answers: as before, 429, and 504 with a Retry-After after a second at most, for quota, share and backlog alike. A leader checks the quota before it stores a job for another.

The end of the spec "is refused if it can never run, unless it is stored already" asserted the fault, a job that is let through while the store is down. It now asks for the unknown outcome and a Retry-After.

--- a/instance/backlog.go
+++ b/instance/backlog.go
@@ -31,21 +31,14 @@
 	if !refused {
 		return job.Response{}, false
 	}
-	unknown := job.Response{Outcome: job.OutcomeUnknown, RetryAfter: wait, Reason: "too many jobs wait, and it is not known whether this one is stored"}
+	refusal := job.Response{Outcome: job.OutcomeOverload, Reason: "too many jobs of the queue wait", RetryAfter: wait}
 	select {
 	case i.refusalChecks <- struct{}{}:
 		defer func() { <-i.refusalChecks }()
 	default:
-		return unknown, true
+		return unknownRefusal(refusal), true
 	}
-	switch i.findState(deadline, j.Tenant, j.ID).Outcome {
-	case job.OutcomeDone:
-		return job.Response{}, false
-	case job.OutcomeNoJob:
-		i.counter("submit.refused.backlog").Inc(1)
-		return job.Response{Outcome: job.OutcomeOverload, Reason: "too many jobs of the queue wait", RetryAfter: wait}, true
-	}
-	return unknown, true
+	return s.refuseUnlessStored(deadline, j, refusal, "backlog")
 }
 
 // announceBacklog keeps what instances are to refuse, and applies it at this one.
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -437,6 +437,8 @@
 		l.post(adviceAnswer(m))
 	case link.KindStoreJobRequest, link.KindStoreCancellationRequest:
 		go l.writeForMember(m, c.Send)
+	case link.KindStoredStateRequest:
+		go l.readStateForMember(m, c.Send)
 	default:
 		l.handleNotification(m)
 	}
@@ -469,13 +471,26 @@
 	defer cancel()
 	a := link.Message{Kind: link.KindStoreResponse, Number: m.Number, Job: m.Job}
 	if m.Kind == link.KindStoreJobRequest {
-		a.Outcome = l.shard.storeJob(ctx, l.shard.jobs.Homes(m.Job)[0], m.Job, m.Tenant, m.Data)
+		a.Outcome = l.storeJobForMember(ctx, m)
 	} else {
 		a.Outcome = l.shard.storeCancellation(ctx, m.Job, m.Tenant)
 	}
 	answer(a)
 }
 
+// storeJobForMember stores a job unless its tenant's quota never lets it run. The instance has
+// checked it too, but maybe by an earlier configuration.
+func (l *leadership) storeJobForMember(ctx context.Context, m link.Message) job.Outcome {
+	j, err := jobstore.DecodeJob(m.Data)
+	if err != nil {
+		return job.OutcomeRefused
+	}
+	if response, refused := l.shard.refuseForQuota(time.Now().Add(storeTimeout), &j); refused {
+		return response.Outcome
+	}
+	return l.shard.storeJob(ctx, l.shard.jobs.Homes(m.Job)[0], m.Job, m.Tenant, m.Data)
+}
+
 // answerQuery answers a status or queue length request from the reducer's state.
 func (l *leadership) answerQuery(m link.Message, answer func(link.Message)) {
 	l.post(reducerQuery(func(r *dispatch.Reducer) {
--- a/instance/requests.go
+++ b/instance/requests.go
@@ -150,6 +150,8 @@
 		response.Reason, response.RetryAfter, response.RetryElsewhere = "the store does not take the request", storeRetryAfter, true
 	case job.OutcomeMalformed:
 		response.Reason = "the store does not accept the request, which may be too large"
+	case job.OutcomeOverload:
+		response.Reason = "the tenant's quota never lets the job run"
 	case job.OutcomeConflict:
 		response.Reason = "another tenant has a job with this id"
 	case job.OutcomeUnknown:
@@ -212,8 +214,8 @@
 		select {
 		case o := <-outcomes:
 			openAttempts--
-			if o == job.OutcomeConflict && (openAttempts > 0 || outcome == job.OutcomeUnknown) {
-				// Another attempt, in the other home, may have stored the job.
+			if (o == job.OutcomeConflict || o == job.OutcomeOverload) && (openAttempts > 0 || outcome == job.OutcomeUnknown) {
+				// Another attempt may have stored the job.
 				o = job.OutcomeUnknown
 			}
 			if o != job.OutcomeRefused && o != job.OutcomeUnknown {
@@ -254,36 +256,6 @@
 	return response
 }
 
-// findState asks the leader for the state of a job, and the store if the leader does not
-// know it.
-func (i *Instance) findState(deadline time.Time, tenant string, id job.ID) job.Response {
-	s := i.shardOf(id)
-	a, err := s.callLeader(earlierTime(time.Now().Add(leaderTimeout), deadline), link.Message{Kind: link.KindStatusRequest, Job: id, Tenant: tenant})
-	if err == nil && a.Outcome == job.OutcomeNoJob {
-		return job.Response{Outcome: job.OutcomeNoJob}
-	}
-	if err == nil && a.Known {
-		return job.Response{Outcome: job.OutcomeDone, State: a.State}
-	}
-	// The leader may not know the job yet.
-	ctx, cancel := context.WithDeadline(i.ctx, deadline)
-	defer cancel()
-	var state job.State
-	if i.keysRequired() {
-		state, err = s.jobs.ReadTenantState(ctx, id, tenant)
-	} else {
-		state, err = s.jobs.ReadState(ctx, id)
-	}
-	i.recordStoreCall(err)
-	switch {
-	case err != nil:
-		return job.Response{Outcome: job.OutcomeRefused, Reason: "neither the leader nor the store tells the job's state", RetryAfter: storeRetryAfter}
-	case state == "":
-		return job.Response{Outcome: job.OutcomeNoJob}
-	}
-	return job.Response{Outcome: job.OutcomeDone, State: state}
-}
-
 // cancelJob stores the cancellation of a job.
 func (i *Instance) cancelJob(deadline time.Time, q job.Queue, tenant string, id job.ID) job.Response {
 	began := time.Now()
--- a/instance/tenantquota.go
+++ b/instance/tenantquota.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"slices"
 	"time"
 
 	"fuchsiacross/dispatch"
@@ -13,18 +14,13 @@
 // refuseForTenant returns the refusal of a new job that its tenant's quota never lets run, or that
 // is beyond its tenant's share while such work has been waiting. It writes nothing.
 func (s *shard) refuseForTenant(deadline time.Time, j *job.Job) (job.Response, bool) {
+	if response, refused := s.refuseForQuota(deadline, j); refused {
+		return response, true
+	}
 	c := s.instance.configuration.Load()
 	if j.Tenant == "" || c == nil {
 		return job.Response{}, false
 	}
-	for i := range c.Tenants {
-		if c.Tenants[i].Name != j.Tenant {
-			continue
-		}
-		if reason := quota.Check(&j.Definition, c.Tenants[i].Limit, s.number, s.table.shardMap.Shards); reason != "" {
-			return s.refuseUnlessStored(deadline, j, job.Response{Outcome: job.OutcomeOverload, Reason: reason}, "quota")
-		}
-	}
 	if wait, refused := s.instance.gate.Refuse(time.Now(), c.Configuration, j.Tenant, s.number); refused {
 		return s.refuseUnlessStored(deadline, j, job.Response{
 			Outcome: job.OutcomeOverload, Reason: "the tenant is beyond its share and has work waiting", RetryAfter: wait,
@@ -33,14 +29,22 @@
 	return job.Response{}, false
 }
 
-// refuseUnlessStored returns a refusal unless the job may be stored already. A client that repeats
-// a submission may have had no answer to the first, and a refusal means that the job never runs.
-func (s *shard) refuseUnlessStored(deadline time.Time, j *job.Job, refusal job.Response, cause string) (job.Response, bool) {
-	if s.instance.findState(deadline, j.Tenant, j.ID).Outcome != job.OutcomeNoJob {
+// refuseForQuota returns the refusal of a new job that its tenant's quota never lets run. It writes
+// nothing.
+func (s *shard) refuseForQuota(deadline time.Time, j *job.Job) (job.Response, bool) {
+	c := s.instance.configuration.Load()
+	if j.Tenant == "" || c == nil {
+		return job.Response{}, false
+	}
+	at := slices.IndexFunc(c.Tenants, func(t job.Tenant) bool { return t.Name == j.Tenant })
+	if at < 0 {
+		return job.Response{}, false
+	}
+	reason := quota.Check(&j.Definition, c.Tenants[at].Limit, s.number, s.table.shardMap.Shards)
+	if reason == "" {
 		return job.Response{}, false
 	}
-	s.instance.counter("submit.refused." + cause).Inc(1)
-	return refusal, true
+	return s.refuseUnlessStored(deadline, j, job.Response{Outcome: job.OutcomeOverload, Reason: reason}, "quota")
 }
 
 // announceAdmission keeps what instances are to refuse, and applies it at this one.
--- a/instance/tenantquota_test.go
+++ b/instance/tenantquota_test.go
@@ -48,8 +48,10 @@
 		_, refused = i.shards()[0].refuseForTenant(deadline, gangOf(1, 5, "a"))
 		Expect(refused).To(BeFalse())
 		s.store.SetDown(true)
-		_, refused = i.shards()[0].refuseForTenant(time.Now().Add(time.Second), gangOf(2, 5, "a"))
-		Expect(refused).To(BeFalse(), "nobody tells whether the job is stored")
+		response, refused = i.shards()[0].refuseForTenant(time.Now().Add(time.Second), gangOf(2, 5, "a"))
+		Expect(refused).To(BeTrue(), "nobody tells whether the job is stored")
+		Expect(response.Outcome).To(Equal(job.OutcomeUnknown))
+		Expect(response.RetryAfter).To(BeNumerically(">=", storeRetryAfter))
 	})
 
 	// Other instances than the leader must refuse too, and know how long to ask clients to wait.
--- a/link/link.go
+++ b/link/link.go
@@ -76,6 +76,7 @@
 	KindConfigurationResponse                    // the version that the sender has, in Data if newer; Known if the store has confirmed it
 	KindAdmission                                // leader: the tenants whose jobs beyond their share are to be refused
 	KindBacklog                                  // leader: the queues of which no jobs are to be accepted, since it has no memory for more
+	KindStoredStateRequest                       // instance: requests that the leader reads a job's state from the store; answered with a KindStatusResponse, Known if the store tells
 )
 
 // Message is a message between a leader and an instance. Its kind determines which
