dispatch, jobstore: a start without a ticket is recorded before it is sent

Cause: a successor learns its predecessor's starts from what the workers list. One that is on its way is listed nowhere, and an incarnation that the successor has not read yet carries it out: it knows no token, its clock begins anew, and without a ticket nothing else refuses the start.

Change: the progress of a job tells of its starts without a ticket, and they are sent after the save that holds the record. A deposed leader cannot store one. A successor takes recorded starts that no worker lists for runs in transit, until 12.5 s after its predecessor's authority has ended. A leader that resigns records no more. While a task has two runs, it is not idle before both have ended. Progress that the store refuses is saved alone, since it would hold up the starts of other jobs.

Changed specs: a former leader cannot start tasks without a ticket any more, so that the specs about what it starts use a queue with tickets, and the random faults are played with both. The gang of which a predecessor started a part is checked for both as well: within 2.5 s with tickets as before, within 20 s without, with no member left alone. "Reservation beyond the share" measures 40 ms from the storage of a job with a ticket (it fails if the rule that it guards is taken out). One spec gets 0.4 s more before it looks at the store.

--- a/dispatch/accept.go
+++ b/dispatch/accept.go
@@ -38,6 +38,7 @@
 			j.restore(p)
 		}
 	}
+	r.restoreStarts(e.Progress)
 	r.storedAdvice = e.Progress
 	r.loaded = true
 	if r.retentionSeconds > 0 {
--- a/dispatch/adopt.go
+++ b/dispatch/adopt.go
@@ -100,9 +100,7 @@
 		orderedAt: r.now, presentSince: r.now, resumed: true, // its start time is unknown
 		tailMilliseconds: running.TailMillisecondsOrMilliCPU, percentOfTime: paceUnknown,
 	}
-	w.runs[runKey{running.Task, running.Run}] = adopted
-	w.used = w.used.Add(s.step.Allocation())
-	r.quota.Charge(j.job.Tenant, s.step.Demand)
+	r.addRun(adopted)
 	w.extendLease(r.now, r.now.Add(confirmationTimeout))
 	j.started = true
 	r.addNote(Note{
@@ -112,9 +110,6 @@
 	if running.Checkpoint != "" {
 		s.recordCheckpoint(running.Task.Index, running.Checkpoint, running.Percent)
 	}
-	if task.run == nil {
-		task.run = adopted
-	}
 	if task.done || j.closed() || task.run != adopted {
 		r.stopRun(adopted)
 	}
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -115,6 +115,8 @@
 		At      time.Time
 		Version int64
 	}
+	// Resigning reports that the leadership is about to be released.
+	Resigning struct{}
 	// LanesChanged lists the instances that can request advice; each is a lane.
 	LanesChanged struct{ Names []string }
 	// Tick triggers periodic work.
@@ -283,13 +285,14 @@
 	Steps                []StepProgress // of occurrences that are not complete
 }
 
-// StepProgress is the progress of a step in one occurrence. A step may have several, with
-// different failures.
+// StepProgress is the progress of a step in one occurrence. A step may have several, each with a
+// part of the lists.
 type StepProgress struct {
 	Occurrence int64
 	Step       int
 	Done       []byte // a bit set by task index
 	Failures   []TaskFailures
+	Starts     []StartRecord
 	// AllowedWorkers and DeniedWorkers may and may not run the step. They are stored only if
 	// the advice was expensive to get.
 	AllowedWorkers, DeniedWorkers []job.WorkerID
--- a/dispatch/formerleader_random_test.go
+++ b/dispatch/formerleader_random_test.go
@@ -323,6 +323,15 @@
 	playRandomFaults(t, func(seed uint64) *formerLeaderFaults { return newFormerLeaderFaults(seed, plain) })
 }
 
+// The same with starts that need no record, so that a former leader sends them too.
+func TestFormerLeaderRandomFaultsWithTickets(t *testing.T) {
+	playRandomFaults(t, func(seed uint64) *formerLeaderFaults {
+		f := newFormerLeaderFaults(seed, checks)
+		f.allows = func(job.StepID, job.WorkerID) bool { return true }
+		return f
+	})
+}
+
 // Orders that are executed late reach incarnations that they were not meant for. No such
 // incarnation accepts a start with a ticket, but its lease may be extended.
 func TestRandomFaultsWithOrdersAcrossIncarnations(t *testing.T) {
@@ -343,6 +352,16 @@
 	})
 }
 
+// The same under leaders that are lost, or cut off from the store and some workers. A successor does
+// not see a start that is executed by an incarnation that it has not read (review/12: TWICE).
+func TestRandomFaultsWithStartsOfFormerLeadersAcrossIncarnations(t *testing.T) {
+	playRandomFaults(t, func(seed uint64) *formerLeaderFaults {
+		f := newFormerLeaderFaults(seed, plain)
+		f.crossOrders, f.losesCrossingStarts = true, false
+		return f
+	})
+}
+
 // Starts above a tenant's quota beside runs that the leader does not know: of former leaders, on
 // workers that are cut off or restart, and of starts that are executed late.
 func TestRandomFaultsWithQuotas(t *testing.T) {
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -121,7 +121,8 @@
 	occurrence        *occurrence
 	step              *job.Step
 	tasks             []taskState
-	tasksLeft         int // tasks that are not done
+	secondRuns        []*run // of tasks that have another run; they are being stopped
+	tasksLeft         int    // tasks that are not done
 	openedAt          time.Time
 	passedOverSince   time.Time // when a step that opened later was first started while this one was blocked; zero before
 	promoted          bool      // it has been overdue; see promoteOverdue
@@ -206,6 +207,9 @@
 	worker         *worker
 	orderedAt      time.Time
 	ticketless     bool               // its start carries no ticket
+	unsent         bool               // its start waits for its record to be stored
+	recorded       bool               // the store may hold a record of its start
+	inherited      bool               // restored from the record of a predecessor's start
 	start          *startwindow.Start // nil if another leader started it
 	presentSince   time.Time          // when its worker first confirmed it; zero before
 	stopping       bool
--- a/dispatch/parts.go
+++ b/dispatch/parts.go
@@ -86,7 +86,7 @@
 	j.parts.pending = j.parts.pending[n:]
 	saved := savedJob{job: j}
 	if len(j.parts.pending) == 0 {
-		saved.numbers = r.dividedNumbers
+		saved.numbers, saved.starts, r.dividedStarts = r.dividedNumbers, r.dividedStarts, nil
 	}
 	r.savingJobs = append(r.savingJobs, saved)
 }
@@ -96,6 +96,8 @@
 func (r *Reducer) abandonDivision() {
 	if r.dividedJob != nil {
 		r.dividedJob.parts.pending = nil
+		r.returnUnrecordedStarts(r.dividedJob, r.dividedStarts)
+		r.dividedStarts = nil
 	}
 	r.dividedJob, r.dividedNumbers, r.deferredMarks = nil, nil, nil
 }
@@ -125,7 +127,7 @@
 		if s.job == r.dividedJob && len(s.job.parts.pending) == 0 {
 			r.dividedJob, r.dividedNumbers = nil, nil
 		}
-		s.job.savedState = s.state
+		s.job.savedState, s.job.rejectedVersion = s.state, 0
 		s.job.parts.setComplete(s.numbers)
 		r.noteObsoleteParts(s.job)
 	}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -60,6 +60,9 @@
 			r.lastReservationAt = time.Time{}
 			break
 		}
+		if !c.step.job.queue.RequiresAdvice && (r.resigning || r.unsentStarts >= r.starts.Limit(r.now)) {
+			continue // a pass follows when starts have been recorded and sent
+		}
 		p.placeStep(c)
 	}
 	r.reportAdmission()
--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -30,6 +30,7 @@
 					sp.Failures = append(sp.Failures, TaskFailures{Index: n, Runs: s.tasks[n].failures})
 				}
 			}
+			sp.Starts = s.startRecords()
 			if !s.complete() && j.queue.RequiresAdvice && s.advice.stored {
 				known := s.advice.knownWorkers()
 				sp.AllowedWorkers, sp.DeniedWorkers = known.allowed, known.denied
@@ -107,11 +108,12 @@
 	stepBytes     = 32 // of a step without its lists
 	failuresBytes = 10 // of the failures of one task without the run numbers
 	runBytes      = 9
-	workerBytes   = 3 // in addition to the ID
+	workerBytes   = 3  // in addition to the ID
+	startBytes    = 20 // in addition to the ID of the worker
 )
 
 func (p *StepProgress) empty() bool {
-	return p.Done == nil && p.Failures == nil && p.AllowedWorkers == nil && p.DeniedWorkers == nil
+	return p.Done == nil && p.Failures == nil && p.Starts == nil && p.AllowedWorkers == nil && p.DeniedWorkers == nil
 }
 
 func (p *StepProgress) adviceBytes() int {
@@ -152,20 +154,25 @@
 	p.last().bytes += bytes
 }
 
+// stepFor returns the step of the last part to which to add an element of a list of a step. It
+// begins another part if the element does not fit.
+func (p *progressSplitter) stepFor(sp *StepProgress, bytes int) *StepProgress {
+	steps := p.last().Steps
+	continues := len(steps) > 0 && steps[len(steps)-1].Occurrence == sp.Occurrence && steps[len(steps)-1].Step == sp.Step
+	if continues && p.last().bytes+bytes <= p.limit {
+		p.last().bytes += bytes
+	} else {
+		p.reserve(stepBytes + bytes)
+		p.last().Steps = append(p.last().Steps, StepProgress{Occurrence: sp.Occurrence, Step: sp.Step})
+	}
+	return &p.last().Steps[len(p.last().Steps)-1]
+}
+
 // addFailures adds the failures of a task, which may take several parts.
 func (p *progressSplitter) addFailures(sp *StepProgress, f TaskFailures) {
 	perPart := max(1, (p.limit-partBytes-stepBytes-failuresBytes)/runBytes)
 	for runs := range slices.Chunk(f.Runs, perPart) {
-		bytes := failuresBytes + runBytes*len(runs)
-		steps := p.last().Steps
-		continues := len(steps) > 0 && steps[len(steps)-1].Occurrence == sp.Occurrence && steps[len(steps)-1].Step == sp.Step
-		if !continues || p.last().bytes+bytes > p.limit {
-			p.reserve(stepBytes + bytes)
-			p.last().Steps = append(p.last().Steps, StepProgress{Occurrence: sp.Occurrence, Step: sp.Step})
-		} else {
-			p.last().bytes += bytes
-		}
-		step := &p.last().Steps[len(p.last().Steps)-1]
+		step := p.stepFor(sp, failuresBytes+runBytes*len(runs))
 		step.Failures = append(step.Failures, TaskFailures{f.Index, runs})
 	}
 }
@@ -188,6 +195,10 @@
 		for _, f := range sp.Failures {
 			s.addFailures(sp, f)
 		}
+		for _, start := range sp.Starts {
+			step := s.stepFor(sp, startBytes+len(start.Worker))
+			step.Starts = append(step.Starts, start)
+		}
 	}
 	total = totalBytes(s.parts)
 	advice := 0
--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -171,17 +171,26 @@
 	// that the last of these saves covers.
 	dividedJob     *jobState
 	dividedNumbers []int
+	dividedStarts  []*run // whose records are among the parts
 	deferredMarks  map[*worker]endMark
 	obsoleteParts  map[*jobState]struct{} // jobs with parts that newer ones have replaced
 	openSave       *Save                  // the save without a result, or nil
-	lastSaveAt     time.Time
+	// savesRefusedJob is set if the last save was that of a job whose progress the store had refused.
+	savesRefusedJob bool
+	lastSaveAt      time.Time
 
 	backlogState
 
 	starts startwindow.Window
-	advice advisor
-	quota  *quota.Ledger
-	shares *share.Meter
+	// unrecordedStarts are chosen starts whose records are in no save yet, recordedStarts those
+	// whose records are stored. unsentStarts counts the starts of both, and of the open save.
+	unrecordedStarts map[*jobState][]*run
+	recordedStarts   []*run
+	unsentStarts     int
+	resigning        bool // the leadership is about to be released
+	advice           advisor
+	quota            *quota.Ledger
+	shares           *share.Meter
 
 	now     time.Time
 	effects Effects
@@ -209,6 +218,7 @@
 		withdrawnJobs:      map[job.ID][]string{},
 		unsavedJobs:        map[*jobState]struct{}{},
 		obsoleteParts:      map[*jobState]struct{}{},
+		unrecordedStarts:   map[*jobState][]*run{},
 		firstLeader:        o.FirstLeader,
 		starts:             startwindow.New(o.MaxPendingStarts),
 		advice:             newAdvisor(),
@@ -239,6 +249,7 @@
 	}
 	if r.loaded && r.workersListed {
 		r.applyStoredAdvice()
+		r.sendRecordedStarts()
 		r.runPass()
 		r.requestAdvice()
 	}
@@ -293,6 +304,8 @@
 		if e.Version > r.confirmedVersion {
 			r.confirmedVersion, r.needsPass = e.Version, true
 		}
+	case Resigning:
+		r.resign()
 	case LanesChanged:
 		r.setLanes(e.Names)
 	case Tick:
--- a/dispatch/save.go
+++ b/dispatch/save.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -38,7 +39,8 @@
 type savedJob struct {
 	job     *jobState
 	state   job.State
-	numbers []int // of the parts that then hold its progress; nil if further ones follow
+	numbers []int  // of the parts that then hold its progress; nil if further ones follow
+	starts  []*run // whose records are stored then
 }
 
 // awaitConfirmation requests a confirmation of the leadership from after a time, instead of
@@ -87,16 +89,25 @@
 	}
 }
 
-// addJobProgress adds the progress of unsaved jobs to a save, as far as there is room. Jobs that
-// have taken several parts come first, so that smaller ones do not keep them out.
+// addJobProgress adds the progress of unsaved jobs to a save, as far as there is room. Jobs whose
+// starts wait for the save come first, and those that have taken several parts, so that smaller ones
+// do not keep them out.
 func (r *Reducer) addJobProgress(save *Save, room *saveRoom) {
 	if j := r.dividedJob; j != nil && j.closed() {
 		r.abandonDivision()
 	}
 	r.addPendingParts(save, room)
-	for _, large := range []bool{true, false} {
+	// Progress that the store has refused is saved alone, in each second save.
+	refused := r.refusedJob()
+	r.savesRefusedJob = refused != nil && !r.savesRefusedJob && len(r.savingJobs) == 0
+	if r.savesRefusedJob {
+		r.addProgressOf(refused, save, room)
+		return
+	}
+	for _, first := range []bool{true, false} {
 		for j := range r.unsavedJobs {
-			if (len(j.parts.complete) > 1) != large || j == r.dividedJob {
+			isFirst := len(r.unrecordedStarts[j]) > 0 || len(j.parts.complete) > 1
+			if isFirst != first || j == r.dividedJob || j.rejectedVersion != 0 {
 				continue
 			}
 			if room.entries <= 0 || len(r.savingJobs) == r.maxSavedJobs {
@@ -107,6 +118,16 @@
 	}
 }
 
+// refusedJob returns an unsaved job whose progress the store has refused, or nil.
+func (r *Reducer) refusedJob() *jobState {
+	for j := range r.unsavedJobs {
+		if j.rejectedVersion != 0 && j != r.dividedJob {
+			return j
+		}
+	}
+	return nil
+}
+
 func (r *Reducer) addProgressOf(j *jobState, save *Save, room *saveRoom) {
 	parts, size := j.progress().split(r.partLimit(j))
 	switch {
@@ -115,6 +136,7 @@
 			delete(r.unsavedJobs, j)
 			r.dividedJob = j
 			j.parts.divide(parts)
+			r.dividedStarts = r.takeUnrecordedStarts(j)
 			r.addNote(Note{Kind: NoteProgressDivided, Job: j.job.ID, Detail: fmt.Sprintf("%d bytes in %d parts", size, len(parts))})
 			r.addPendingParts(save, room)
 		}
@@ -124,7 +146,7 @@
 	}
 	delete(r.unsavedJobs, j)
 	room.take(len(parts), size)
-	saved := savedJob{job: j, state: j.state}
+	saved := savedJob{job: j, state: j.state, starts: r.takeUnrecordedStarts(j)}
 	for _, p := range parts {
 		save.Progress = append(save.Progress, p.Progress)
 		saved.numbers = append(saved.numbers, p.Part)
@@ -177,6 +199,13 @@
 		return
 	}
 	r.recordParts(r.openSave)
+	for _, s := range r.savingJobs {
+		r.recordedStarts = append(r.recordedStarts, s.starts...)
+	}
+	// In the order in which they were chosen; the members of a gang share a number.
+	slices.SortFunc(r.recordedStarts, func(a, b *run) int {
+		return cmp.Or(cmp.Compare(a.number, b.number), cmp.Compare(a.task.Index, b.task.Index))
+	})
 	for _, saved := range r.openSave.Enrolled {
 		if w := r.workers[saved.Worker.ID]; w != nil {
 			w.setEnrolled(saved)
@@ -212,6 +241,7 @@
 	}
 	for _, s := range r.savingJobs {
 		r.unsavedJobs[s.job] = struct{}{}
+		r.returnUnrecordedStarts(s.job, s.starts)
 	}
 	r.abandonDivision()
 	for _, saved := range r.openSave.Enrolled {
--- a/dispatch/start.go
+++ b/dispatch/start.go
@@ -6,32 +6,39 @@
 	"fuchsiacross/job"
 )
 
-// startRun orders a run of a task on a worker. The members of a gang share one run number.
+// startRun orders a run of a task on a worker. The members of a gang share one run number. A start
+// without a ticket is sent once it is recorded.
 func (r *Reducer) startRun(s *stepState, index int, w *worker, number int64, ticket string) {
-	task := &s.tasks[index]
 	ordered := &run{
 		task: job.TaskID{StepID: s.id, Index: index}, number: number, token: r.fence(w), step: s, worker: w, orderedAt: r.now,
 		percentOfTime: fullPercent, ticketless: ticket == "",
 	}
-	task.run = ordered
-	w.runs[runKey{ordered.task, number}] = ordered
-	w.used = w.used.Add(s.step.Allocation())
-	r.quota.Charge(s.job.job.Tenant, s.step.Demand)
+	r.addRun(ordered)
+	if ordered.ticketless {
+		r.awaitRecord(ordered)
+		return
+	}
+	r.sendStart(ordered, ticket)
+}
+
+// sendStart sends the start order of a run.
+func (r *Reducer) sendStart(ordered *run, ticket string) {
+	s, w := ordered.step, ordered.worker
 	end := r.leaseEnd()
 	w.extendLease(r.now, end)
-	checkpoint := task.checkpoint
+	checkpoint := s.tasks[ordered.task.Index].checkpoint
 	if s.step.Gang {
 		checkpoint = s.checkpoint
 	}
-
+	ordered.orderedAt, ordered.token = r.now, r.fence(w)
 	ordered.resumed = checkpoint != ""
 	ordered.start = r.starts.Add(r.now)
 	r.effects.Starts = append(r.effects.Starts, StartRun{
-		Worker: w.registration, Token: ordered.token, Task: ordered.task, Run: number, Spec: s.job.job.Definition.Spec,
+		Worker: w.registration, Token: ordered.token, Task: ordered.task, Run: ordered.number, Spec: s.job.job.Definition.Spec,
 		Checkpoint: checkpoint, Ticket: ticket, Deadline: w.toWorkerClock(end),
 	})
 	r.addNote(Note{
-		Kind: NoteRunOrdered, Job: s.id.Job, Task: ordered.task, Run: number, Worker: w.registration.ID,
+		Kind: NoteRunOrdered, Job: s.id.Job, Task: ordered.task, Run: ordered.number, Worker: w.registration.ID,
 		Age: r.now.Sub(s.job.job.AcceptedAt),
 	})
 }
@@ -79,9 +86,7 @@
 		r.handleRejection(ordered, e)
 	default:
 		ordered.step.job.started = true
-		if ordered.presentSince.IsZero() {
-			ordered.presentSince = r.now
-		}
+		r.confirmRun(ordered)
 		r.orderPace(ordered)
 	}
 }
--- a/dispatch/transit.go
+++ b/dispatch/transit.go
@@ -17,10 +17,10 @@
 	return run.ticketless && run.presentSince.IsZero() && r.now.Before(run.orderedAt.Add(maxOrderDelay))
 }
 
-// isUnansweredBefore reports whether the time for an answer to the start order of a run was
-// over at a time.
-func (run *run) isUnansweredBefore(at time.Time) bool {
-	return !run.unknownAt.IsZero() && run.unknownAt.Before(at) && !run.stopping
+// isUnansweredAt reports whether the time for an answer to the start order of a run was over at a
+// time.
+func (run *run) isUnansweredAt(at time.Time) bool {
+	return !run.unknownAt.IsZero() && !run.unknownAt.After(at) && !run.stopping
 }
 
 // latestEnd returns the latest time at which a run on a worker without contact ends. A start
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -403,9 +403,7 @@
 		}
 		known.missedReadings, known.unknownAt, known.goneAt = 0, time.Time{}, time.Time{}
 		known.step.job.started = true
-		if known.presentSince.IsZero() {
-			known.presentSince = r.now
-		}
+		r.confirmRun(known)
 		w.health.observeService(r.now, known)
 		if r.hasSurvivedStop(known) {
 			known.stopAnsweredAt = time.Time{}
@@ -432,15 +430,17 @@
 		}
 		switch {
 		case r.startInTransit(run):
-			if run.step.step.Gang && run.isUnansweredBefore(e.SentAt) {
+			if run.step.step.Gang && run.isUnansweredAt(e.SentAt) {
 				// The other members would wait for it in vain.
 				r.stopStep(run.step)
 			}
+		case run.inherited:
+			r.markGone(run, "the predecessor's start cannot be executed any more")
 		case run.token < e.Token:
 			r.markGone(run, "the worker has restarted")
 		case !run.stopAnsweredAt.IsZero() && run.stopAnsweredAt.Before(e.SentAt):
 			r.giveUpRun(run, "stopped before it started")
-		case run.isUnansweredBefore(e.SentAt):
+		case run.isUnansweredAt(e.SentAt):
 			// Its start may still be executed by this incarnation.
 			r.stopRun(run)
 		case !run.presentSince.IsZero() && run.presentSince.Before(e.SentAt):
@@ -476,8 +476,15 @@
 	delete(w.runs, key)
 	w.used = w.used.Sub(run.step.step.Allocation())
 	r.quota.Release(run.step.job.job.Tenant, run.step.step.Demand)
+	if run.unsent {
+		run.unsent = false
+		r.unsentStarts--
+	}
+	r.dropRecord(run)
 	if task := &run.step.tasks[run.task.Index]; task.run == run {
-		task.run = nil
+		task.run = run.step.takeSecondRun(run.task.Index)
+	} else if at := slices.Index(run.step.secondRuns, run); at >= 0 {
+		run.step.dropSecondRun(at)
 	}
 	r.needsPass = true
 }
@@ -487,6 +494,11 @@
 	if run.stopping {
 		return
 	}
+	if run.unsent {
+		r.releaseRun(run)
+		r.openStep(run.step)
+		return
+	}
 	run.stopping = true
 	r.sendStop(run)
 }
--- a/instance/leader.go
+++ b/instance/leader.go
@@ -241,6 +241,7 @@
 	l.resigning = true
 	l.mu.Unlock()
 	defer l.cancel()
+	l.post(dispatch.Resigning{})
 	ctx, cancel := context.WithTimeout(context.Background(), resignTimeout)
 	defer cancel()
 	version, released := l.saver.Release(ctx)
--- a/jobstore/codec.go
+++ b/jobstore/codec.go
@@ -218,6 +218,14 @@
 	Failures       map[int][]int64 `cbor:"4,keyasint,omitempty"`
 	AllowedWorkers []string        `cbor:"5,keyasint,omitempty"`
 	DeniedWorkers  []string        `cbor:"6,keyasint,omitempty"`
+	Starts         []wireStart     `cbor:"7,keyasint,omitempty"`
+}
+
+type wireStart struct {
+	_      struct{} `cbor:",toarray"`
+	Index  int
+	Run    int64
+	Worker string
 }
 
 // EncodeProgress returns the CBOR encoding of a part of a job's progress, as it is stored.
@@ -234,6 +242,9 @@
 			}
 			ws.Failures[f.Index] = f.Runs
 		}
+		for _, start := range s.Starts {
+			ws.Starts = append(ws.Starts, wireStart{Index: start.Index, Run: start.Run, Worker: string(start.Worker)})
+		}
 		w.Steps = append(w.Steps, ws)
 	}
 	return encode(w, "encode progress")
@@ -257,6 +268,9 @@
 		for index, runs := range ws.Failures {
 			s.Failures = append(s.Failures, dispatch.TaskFailures{Index: index, Runs: runs})
 		}
+		for _, start := range ws.Starts {
+			s.Starts = append(s.Starts, dispatch.StartRecord{Index: start.Index, Run: start.Run, Worker: job.WorkerID(start.Worker)})
+		}
 		p.Steps = append(p.Steps, s)
 	}
 	return p, nil
