dispatch, soak: restored starts count from their listing; a queue without advice in the soak

A restored start that a worker lists is treated as an adopted run: its time and its lease count from then. A division of progress that is given up is saved anew in any case (by reading: no way to it was found). The time until a step accepts suspect workers, and until few further workers are asked about, are stored as deadlines. A step's eligible workers are told apart from those that fail without a change of its state.

The soak submits a part of its jobs to a queue without advice, whose starts are late and cross incarnations beside changes of leaders.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -62,9 +62,7 @@
 	hedgeAt   time.Time      // when the answer to a cheap call becomes overdue
 	retryAt   time.Time
 	widenAt   time.Time // earliest time of the next search for more workers
-	// widenedAt is the time of the latest answer about workers that no earlier call had named;
-	// zero before the first.
-	widenedAt time.Time
+	fewAt     time.Time // earliest time of a call for few further workers whose room it does not need
 }
 
 // ticket is the permission to run a step on a worker. When it expires, the worker remains
@@ -392,7 +390,7 @@
 	if !mayWiden && len(list) <= len(s.advice.asked) {
 		return nil
 	}
-	if !firstCall && len(list) < len(s.advice.asked)/widenDivisor && s.hasUsableTicket() && r.now.Sub(s.advice.widenedAt) < fewWorkersDelay {
+	if !firstCall && len(list) < len(s.advice.asked)/widenDivisor && s.hasUsableTicket() && r.now.Before(s.advice.fewAt) {
 		// A few workers that became available again do not justify a call at once, unless the
 		// step waits for room that they have.
 		list = r.workersWithMissingRoom(s, list)
@@ -456,9 +454,9 @@
 	fewWorkersDelay = 4 * time.Second
 )
 
-// workersWithMissingRoom returns those of the further workers that have room for a task of a blocked
-// step, or none if the step needs no more room than the workers have that may run it, or would lack
-// room for a gang even with these.
+// workersWithMissingRoom returns the further workers that have room for a task of a blocked step. It
+// returns none if the workers that may run the step have the room that it needs, or if a gang would
+// lack room even with the further ones.
 func (r *Reducer) workersWithMissingRoom(s *stepState, further []*worker) []*worker {
 	missing, room := s.idleTasks(), 0
 	for i := range s.advice.tickets {
@@ -557,7 +555,7 @@
 	r.recordAdvice(s, nil, c.workers)
 	s.advice.holdUntil = time.Time{}
 	if c.purpose == purposeFirst || c.purpose == purposeWiden {
-		s.advice.widenedAt = r.now
+		s.advice.fewAt = r.now.Add(fewWorkersDelay)
 	}
 	if r.callClass(&s.job.queue) == advicelane.Expensive {
 		s.advice.stored = true
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -143,8 +143,8 @@
 	quotaHeldSince    time.Time // when its tenant's quota first held it back since its last start; zero if it has not
 	atQuota           bool      // the last pass skipped it because of its tenant's quota
 	aboveQuota        bool      // it was logged that it can never run within its tenant's quota
-	avoidingSince     time.Time // since when suspect workers have kept it waiting; zero if they do not
-	acceptsSuspects   bool      // it has waited for so long that suspect workers may run it
+	avoidUntil        time.Time // until when it avoids suspect workers although most are; zero if most are not
+	acceptsSuspects   bool      // that time has passed
 }
 
 // recordCheckpoint stores the checkpoint of a run. The checkpoint of any member is valid for
--- a/dispatch/largeprogress_test.go
+++ b/dispatch/largeprogress_test.go
@@ -129,6 +129,28 @@
 		})
 	}
 
+	// A save that is refused because of another job may hold a part of the divided progress, or none.
+	It("is saved anew if the store refuses a save meanwhile", func() {
+		patient := plain
+		patient.MaxAttempts = 40
+		sim := newSimulation(40, 64, patient)
+		sim.maxRowBytes, sim.options.MaxRowBytes = maxRowBytes, maxRowBytes
+		sim.startLeader(sim.options)
+		sim.submit(newJob(1, "plain", job.Step{Tasks: 3000, Demand: demand(1, 1), EstimateMilliseconds: 200}))
+		storeFailures(sim, 1, 30)
+		sim.loseLeader(500 * time.Millisecond)
+		sim.rejectsProgress = func(p dispatch.Progress) bool { return p.ID >= id(100) && p.State == "" }
+		for n := range 12 {
+			sim.schedule(time.Duration(600+n*80)*time.Millisecond, func() {
+				sim.submit(newJob(100+n, "plain", job.Step{Tasks: 1, Demand: demand(1, 1), EstimateMilliseconds: 100}))
+			})
+		}
+		sim.advance(60 * time.Second)
+		Expect(state(sim, 1)).To(Equal(job.StateCompleted))
+		Expect(sim.furtherParts).To(BeEmpty())
+		Expect(sim.violations).To(BeEmpty())
+	})
+
 	// The failures of all leaders count, those that two parts list once.
 	It("that lists a failure twice counts it once", func() {
 		patient := plain
--- a/dispatch/parts.go
+++ b/dispatch/parts.go
@@ -91,10 +91,11 @@
 	r.savingJobs = append(r.savingJobs, saved)
 }
 
-// abandonDivision gives up the divided progress: it has been replaced, or the store refuses a part.
-// The ends that it covers are not acknowledged.
+// abandonDivision gives up the divided progress, which is saved anew: it has been replaced, or the
+// store refuses a save. The ends that it covers are not acknowledged.
 func (r *Reducer) abandonDivision() {
 	if r.dividedJob != nil {
+		r.unsavedJobs[r.dividedJob] = struct{}{}
 		r.dividedJob.parts.pending = nil
 		r.returnUnrecordedStarts(r.dividedJob, r.dividedStarts)
 		r.dividedStarts = nil
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -246,9 +246,13 @@
 // isEligible reports whether a worker that accepts runs may run tasks of a step, regardless of
 // its free capacity. Steps with few attempts avoid workers that may be failing.
 func (s *stepState) isEligible(w *worker) bool {
+	return s.isEligibleIfSound(w) && (!w.suspect || s.acceptsSuspects || s.job.queue.MaxAttempts > fewAttempts)
+}
+
+// isEligibleIfSound reports the same without regard to failures on the worker.
+func (s *stepState) isEligibleIfSound(w *worker) bool {
 	return w.registration.Pool == s.job.queue.Pool &&
 		(!w.unreliable || s.job.queue.Priority > urgentPriority && !s.step.Gang) &&
-		(!w.suspect || s.acceptsSuspects || s.job.queue.MaxAttempts > fewAttempts) &&
 		(s.step.RequiredLabel == "" || slices.Contains(w.registration.Labels, s.step.RequiredLabel)) &&
 		s.step.Allocation().Fits(w.registration.Capacity)
 }
@@ -257,18 +261,17 @@
 // workers that may run it are suspect, a choice among the others says little, and the step would
 // wait for as long as jobs go on failing.
 func (p *pass) noteAvoidance(s *stepState, blocked bool) {
-	if !blocked || s.job.queue.MaxAttempts > fewAttempts {
-		s.avoidingSince, s.acceptsSuspects = time.Time{}, false
-		return
-	}
-	if total, suspect := p.countSuspects(s); 2*suspect <= total {
-		s.avoidingSince, s.acceptsSuspects = time.Time{}, false
-		return
-	}
-	if s.avoidingSince.IsZero() {
-		s.avoidingSince = p.now
-	}
-	if !s.acceptsSuspects && p.now.Sub(s.avoidingSince) >= suspectDuration {
+	mostAreSuspect := false
+	if blocked && s.job.queue.MaxAttempts <= fewAttempts {
+		total, suspect := p.countSuspects(s)
+		mostAreSuspect = 2*suspect > total
+	}
+	switch {
+	case !mostAreSuspect:
+		s.avoidUntil, s.acceptsSuspects = time.Time{}, false
+	case s.avoidUntil.IsZero():
+		s.avoidUntil = p.now.Add(suspectDuration)
+	case !s.acceptsSuspects && !p.now.Before(s.avoidUntil):
 		s.acceptsSuspects, p.needsPass = true, true
 	}
 }
@@ -279,10 +282,8 @@
 	if p.suspects == 0 {
 		return 0, 0
 	}
-	defer func(before bool) { s.acceptsSuspects = before }(s.acceptsSuspects)
-	s.acceptsSuspects = true
 	for _, w := range p.sortedWorkers {
-		if !w.acceptsRuns || !s.isEligible(w) || s.job.queue.RequiresAdvice && s.advice.isDenied(w) {
+		if !w.acceptsRuns || !s.isEligibleIfSound(w) || s.job.queue.RequiresAdvice && s.advice.isDenied(w) {
 			continue
 		}
 		total++
--- a/dispatch/reducer.go
+++ b/dispatch/reducer.go
@@ -1,11 +1,12 @@
 // Package dispatch is the reducer of the leader: it decides when and on which worker each
 // task runs, and keeps track of the results.
 //
-// Only jobs, cancellations and ends of tasks are durable. Runs are read from the workers: a new
-// leader reads each worker with its own token, which fences the predecessor there, before it
-// starts a task that the predecessor may have started. In the same way it fences its own
-// earlier orders at a worker that has restarted, since a worker forgets with its runs which
-// token it has seen. A worker forgets the end of a run only after the leader has saved it.
+// Only jobs, cancellations, ends of tasks, and starts without a ticket that may not have been
+// executed, are durable. Runs are read from the workers: a new leader reads each worker with its
+// own token, which fences the predecessor there, before it starts a task that the predecessor may
+// have started. In the same way it fences its own earlier orders at a worker that has restarted,
+// since a worker forgets with its runs which token it has seen. A worker forgets the end of a run
+// only after the leader has saved it.
 //
 // A reading is a worker's answer with its active and ended runs. The ended runs, or ends for
 // short, are numbered, so that the leader can acknowledge them up to a number.
--- a/dispatch/save.go
+++ b/dispatch/save.go
@@ -165,8 +165,8 @@
 // smallPartBytes limits the parts of a job of which the store has refused larger ones.
 const smallPartBytes = 3072
 
-// rejectProgress closes a job whose progress the store refuses, whatever its size. Without it, tasks of the job
-// that are done would run again, and no other job of the shard could be saved.
+// rejectProgress closes a job whose progress the store refuses, whatever its size. Without it, tasks
+// of the job that are done would run again, and no other job of the shard could be saved.
 func (r *Reducer) rejectProgress(j *jobState, reason string) {
 	r.addNote(Note{Kind: NoteProgressRejected, Job: j.job.ID, Detail: reason})
 	if !j.closed() {
--- a/dispatch/startrecord.go
+++ b/dispatch/startrecord.go
@@ -116,6 +116,11 @@
 		return
 	}
 	run.presentSince = r.now
+	if run.inherited {
+		// As for an adopted run: its start and its lease are known from the predecessor only.
+		run.orderedAt = r.now
+		run.worker.extendLease(r.now, r.now.Add(confirmationTimeout))
+	}
 	r.dropRecord(run)
 }
 
--- a/logevent/list.go
+++ b/logevent/list.go
@@ -120,7 +120,7 @@
 	StoreRowUnreadable      = Event{849, zapcore.ErrorLevel, "row unreadable", "A row of the store has a field of a wrong type. It is left out or counts as empty; the others are used."}
 	RunOrdered              = Event{850, zapcore.InfoLevel, "run ordered", "A task was placed on a worker; age is the time since its job was accepted."}
 	RunRejected             = Event{851, zapcore.InfoLevel, "run rejected", "The worker did not execute a start; the task waits again."}
-	RunUnknown              = Event{852, zapcore.WarnLevel, "run unknown", "A start got no answer; a stop ensures that it cannot be executed late."}
+	RunUnknown              = Event{852, zapcore.WarnLevel, "run unknown", "A start got no answer, or the record of a predecessor tells of one that may not have been executed. Its task starts elsewhere only when it cannot be executed any more."}
 	RunEnded                = Event{853, zapcore.InfoLevel, "run ended", "A worker reports the end of a run; detail tells how it ended."}
 	RunGivenUp              = Event{854, zapcore.WarnLevel, "run given up", "A run can no longer exist, although its worker has not reported its end. Age is the time since the leadership was last confirmed."}
 	RunMoved                = Event{855, zapcore.InfoLevel, "run moved", "A run makes so little progress on a slow worker that it is stopped and started on another one; age is the time that it would still take on the slow worker."}
--- a/soak/clients_test.go
+++ b/soak/clients_test.go
@@ -185,6 +185,9 @@
 	if limited, _ := isLimited(id); limited {
 		steps[0].Count = min(steps[0].Count, maxLimitedTasks)
 	}
+	if limited, _ := isLimited(id); !limited && path == "/u/" && id[len(id)-1]%3 == 0 {
+		path = "/d/" // without advice
+	}
 	if path == "/b/" && r.IntN(longOneIn) == 0 {
 		steps[0].Count, steps[0].Gang, steps[0].Estimate = 1, false, longEstimateMilliseconds
 	}
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -181,7 +181,9 @@
 			"Advice": map[string]float64{"DecisionMs": decisionMilliseconds, "PeriodMs": 0.1, "ValidityMs": 2500},
 		}
 	}
-	routes := []map[string]any{queue("urgent", "/u/", 0, 1), queue("batch", "/b/", 1, 300)}
+	direct := queue("direct", "/d/", 0, 0)
+	delete(direct, "Advice")
+	routes := []map[string]any{queue("urgent", "/u/", 0, 1), queue("batch", "/b/", 1, 300), direct}
 	for added := max(1, version-routesKept+1); added <= version; added++ {
 		route := queue(fmt.Sprintf("v%d", added), prefix(added), 2, 1)
 		route["Public"] = true
