dispatch: suspect workers of a step are counted four times a second at most

Whether most of the workers that a step might use are suspect was determined in each pass for each blocked step with few attempts, over all workers; the room of workers that were not asked about counted a step's runs also where no bound on them holds.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -485,7 +485,11 @@
 	if w.isReservedAgainst(s) && s.job.queue.Priority > urgentPriority {
 		return 0
 	}
-	return s.taskCapacity(&place{worker: w, free: w.uncommitted, tasks: s.runsOn(w)})
+	at := place{worker: w, free: w.uncommitted}
+	if s.step.MaxPerWorker > 0 {
+		at.tasks = s.runsOn(w)
+	}
+	return s.taskCapacity(&at)
 }
 
 // hasUsableTicket reports whether a worker that may run the step accepts runs. Its ticket may
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -145,6 +145,7 @@
 	aboveQuota        bool      // it was logged that it can never run within its tenant's quota
 	avoidUntil        time.Time // until when it avoids suspect workers although most are; zero if most are not
 	acceptsSuspects   bool      // that time has passed
+	checkSuspectsAt   time.Time // when its suspect workers are counted next
 }
 
 // recordCheckpoint stores the checkpoint of a run. The checkpoint of any member is valid for
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -261,8 +261,12 @@
 // workers that may run it are suspect, a choice among the others says little, and the step would
 // wait for as long as jobs go on failing.
 func (p *pass) noteAvoidance(s *stepState, blocked bool) {
+	if s.job.queue.MaxAttempts > fewAttempts || blocked && p.now.Before(s.checkSuspectsAt) {
+		return
+	}
 	mostAreSuspect := false
-	if blocked && s.job.queue.MaxAttempts <= fewAttempts {
+	if blocked && p.suspects > 0 {
+		s.checkSuspectsAt = p.now.Add(suspectsInterval)
 		total, suspect := p.countSuspects(s)
 		mostAreSuspect = 2*suspect > total
 	}
@@ -276,12 +280,13 @@
 	}
 }
 
+// suspectsInterval is the time between two counts of a step's suspect workers, each of which
+// considers all workers.
+const suspectsInterval = 250 * time.Millisecond
+
 // countSuspects returns how many workers might run a step, and how many of them are suspect. If the
 // step requires advice, workers that have not been asked about count too.
 func (p *pass) countSuspects(s *stepState) (total, suspect int) {
-	if p.suspects == 0 {
-		return 0, 0
-	}
 	for _, w := range p.sortedWorkers {
 		if !w.acceptsRuns || !s.isEligibleIfSound(w) || s.job.queue.RequiresAdvice && s.advice.isDenied(w) {
 			continue
